--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,7 +1,7 @@
 import gts from 'gts/build/eslint.config.js';
 
 export default [
-  {ignores: ['**/dist/', '**/gen/', '**/node_modules/']},
+  {ignores: ['**/dist/', '**/gen/', 'target/', '**/node_modules/']},
   ...gts,
   {
     files: ['**/*.ts'],
--- /dev/null
+++ b/packages/balancer/src/backend_server/shared_server.ts
@@ -0,0 +1,206 @@
+/**
+ * A backend server that several instances send to without a common queue. What
+ * it runs for others is known only from its own reports, which are old within
+ * a fraction of a second.
+ */
+
+/** Whether a backend server takes new work, as the registry says. */
+export const EntryState = {
+  Ready: 'ready',
+  /** It finishes what it has and leaves. */
+  Leaving: 'leaving',
+} as const;
+
+/** One of the values of {@link EntryState}. */
+export type EntryState = (typeof EntryState)[keyof typeof EntryState];
+
+/** What the registry says of a backend server. */
+export interface ServerEntry {
+  readonly id: string;
+  readonly service: string;
+  /** IP address and port. */
+  readonly address: string;
+  readonly failureDomain: string;
+  readonly slots: number;
+  readonly state: EntryState;
+  /** Time for which it stays slow after its start, milliseconds. */
+  readonly warmUpMs: number;
+  /** Start of the server process, milliseconds of the epoch; 0 if unknown. */
+  readonly startedAt: number;
+  /** Count of its reports since its start. */
+  readonly sequence: number;
+}
+
+/** What a backend server reports of its load. */
+export interface LoadReport {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+  /** How long work takes, relative to the usual; 1 is the usual. */
+  readonly slowness: number;
+}
+
+/** Time constant with which a report loses its value, milliseconds. */
+const REPORT_DECAY_MS = 250;
+/** Slowness that is expected of a server without a recent report. */
+const TYPICAL_SLOWNESS = 1.7;
+/** Share of the slots in use from which servers commonly slow down. */
+const NEARLY_FULL = 0.8;
+/** How much slower a nearly full server is expected to be. */
+const NEARLY_FULL_SLOWNESS = 1.6;
+/** How much slower a server is expected to be while it warms up. */
+const WARM_UP_SLOWNESS = 1.8;
+/** Time in which the memory of failures halves, milliseconds. */
+const FAILURE_HALF_LIFE_MS = 4_000;
+/** Factor on the expected time for each remembered failure. */
+const FAILURE_COST = 1.5;
+/** Part that a success leaves of the memory of failures. */
+const SUCCESS_KEEPS = 0.7;
+/** First time for which a server without an answer is passed over, milliseconds. */
+const FIRST_SUSPICION_MS = 300;
+/** Longest such time, milliseconds. */
+const MAX_SUSPICION_MS = 3_000;
+/** Factor on the expected time of a server that says it is not well. */
+const UNWELL_COST = 20;
+
+/** One backend server as this instance knows it. */
+export class SharedServer {
+  /** Requests of this instance that it runs or queues. */
+  inFlight = 0;
+  /** Time of the last report on the monotonic clock, milliseconds. */
+  reportedAt = -Infinity;
+  private report: LoadReport | undefined;
+  /** Requests sent from here since the last report. */
+  private sentSince = 0;
+  private failures = 0;
+  private failuresAt = 0;
+  private suspectUntil = -Infinity;
+  private suspicions = 0;
+  private unwell = false;
+  private misplaced = false;
+  private warmUntil: number;
+
+  constructor(
+    public entry: ServerEntry,
+    now: number,
+  ) {
+    this.warmUntil = now + entry.warmUpMs;
+  }
+
+  /** Takes over a changed entry of the same server process. */
+  update(entry: ServerEntry, now: number): void {
+    this.entry = entry;
+    this.warmUntil = now + entry.warmUpMs;
+    this.misplaced = false;
+  }
+
+  /** Whether new requests may go there. */
+  get takesWork(): boolean {
+    return this.entry.state === EntryState.Ready && !this.misplaced;
+  }
+
+  /** Whether it did not answer lately, so that others go first. */
+  isSuspect(now: number): boolean {
+    return now < this.suspectUntil;
+  }
+
+  /** Age of the last report, milliseconds. */
+  reportAge(now: number): number {
+    return now - this.reportedAt;
+  }
+
+  /** Requests that run or wait there, as far as is known. */
+  get load(): number {
+    const {report} = this;
+    const reported = report ? report.running + report.waiting : 0;
+    return Math.max(this.inFlight, reported + this.sentSince);
+  }
+
+  /** Requests that wait there, as far as is known. */
+  get queued(): number {
+    return Math.max(0, this.load - this.slots);
+  }
+
+  /** The slots that it reports, or else those of its entry. */
+  get slots(): number {
+    return Math.max(1, this.report?.slots ?? this.entry.slots);
+  }
+
+  /**
+   * Expected time of one more request there, as a multiple of the time on an
+   * idle server of usual speed.
+   */
+  expectedCost(now: number): number {
+    const {slots, load} = this;
+    const after = load + 1;
+    const weight = Math.exp(-this.reportAge(now) / REPORT_DECAY_MS);
+    const reported = this.report?.slowness ?? TYPICAL_SLOWNESS;
+    const slowness = reported * weight + TYPICAL_SLOWNESS * (1 - weight);
+    const full = after > NEARLY_FULL * slots ? NEARLY_FULL_SLOWNESS : 1;
+    const turns = 1 + Math.max(0, after - slots) / slots;
+    const warm = now < this.warmUntil ? WARM_UP_SLOWNESS : 1;
+    const unwell = this.unwell ? UNWELL_COST : 1;
+    const failing = 1 + FAILURE_COST * this.failuresNow(now);
+    return slowness * full * turns * warm * unwell * failing;
+  }
+
+  /** Counts a request that is sent there. */
+  send(): void {
+    this.inFlight += 1;
+    this.sentSince += 1;
+  }
+
+  /** Counts the end of a request that was sent there. */
+  ended(): void {
+    this.inFlight -= 1;
+  }
+
+  /** Takes in a report of its load. */
+  observe(report: LoadReport, now: number): void {
+    this.report = report;
+    this.reportedAt = now;
+    this.sentSince = 0;
+  }
+
+  /** Takes in any answer: it is reachable. */
+  answered(): void {
+    this.suspectUntil = -Infinity;
+    this.suspicions = 0;
+  }
+
+  /** Takes in what its health path says. */
+  observeHealth(well: boolean): void {
+    this.unwell = !well;
+  }
+
+  /** Takes in that it did not answer in time, or refused a connection. */
+  unanswered(now: number): void {
+    const doubled = FIRST_SUSPICION_MS * 2 ** this.suspicions;
+    this.suspicions += 1;
+    this.suspectUntil = now + Math.min(MAX_SUSPICION_MS, doubled);
+  }
+
+  /** Takes in that another server answers on its address. */
+  foundMisplaced(): void {
+    this.misplaced = true;
+  }
+
+  /** Takes in a request that it served. */
+  succeeded(now: number): void {
+    this.failures = this.failuresNow(now) * SUCCESS_KEEPS;
+    this.failuresAt = now;
+  }
+
+  /** Takes in a request that it failed. */
+  failed(now: number): void {
+    this.failures = this.failuresNow(now) + 1;
+    this.failuresAt = now;
+  }
+
+  private failuresNow(now: number): number {
+    if (this.failures === 0) return 0;
+    return (
+      this.failures * 0.5 ** ((now - this.failuresAt) / FAILURE_HALF_LIFE_MS)
+    );
+  }
+}
--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -39,3 +39,11 @@
 } from './service/content_quarantine.js';
 export * from './service/dispatch_policy.js';
 export * from './service/service.js';
+export * from './backend_server/shared_server.js';
+export * from './instance/deployment.js';
+export * from './instance/lapsed_servers.js';
+export * from './route/route.js';
+export * from './route/route_table.js';
+export * from './route/split.js';
+export * from './service/send_budget.js';
+export * from './service/shared_service.js';
--- /dev/null
+++ b/packages/balancer/src/service/send_budget.ts
@@ -0,0 +1,61 @@
+/**
+ * Bounds the sends beyond the first of each request, over a sliding window.
+ * Instances that know nothing of each other keep a common bound if each stays
+ * within a share of its own requests.
+ */
+
+/** Buckets that a window is divided into. */
+const BUCKETS = 10;
+
+/** What bounds repeated sends to a service. */
+export interface SendBudgetTerms {
+  /** Repeated sends for each request in the window. */
+  readonly ratio: number;
+  /** Repeated sends beyond that, of this instance. */
+  readonly extra: number;
+  /** Length of the window, milliseconds. */
+  readonly windowMs: number;
+}
+
+/** The repeated sends of one service by this instance. */
+export class SendBudget {
+  private readonly requests = new Array<number>(BUCKETS).fill(0);
+  private readonly repeats = new Array<number>(BUCKETS).fill(0);
+  private bucket = 0;
+
+  constructor(private readonly terms: SendBudgetTerms) {}
+
+  /** Counts a request of a caller. */
+  requested(now: number): void {
+    this.turn(now);
+    this.requests[this.bucket % BUCKETS]! += 1;
+  }
+
+  /** Takes one repeated send; false if the budget does not allow it. */
+  trySpend(now: number): boolean {
+    if (this.left(now) < 1) return false;
+    this.repeats[this.bucket % BUCKETS]! += 1;
+    return true;
+  }
+
+  /** Repeated sends that are allowed now. */
+  left(now: number): number {
+    this.turn(now);
+    const {ratio, extra} = this.terms;
+    return ratio * sum(this.requests) + extra - sum(this.repeats);
+  }
+
+  private turn(now: number): void {
+    const current = Math.floor(now / (this.terms.windowMs / BUCKETS));
+    const turned = Math.min(BUCKETS, current - this.bucket);
+    this.bucket = Math.max(current, this.bucket);
+    for (let i = 0; i < turned; i++) {
+      this.requests[(this.bucket - i) % BUCKETS] = 0;
+      this.repeats[(this.bucket - i) % BUCKETS] = 0;
+    }
+  }
+}
+
+function sum(counts: readonly number[]): number {
+  return counts.reduce((total, count) => total + count, 0);
+}
--- a/packages/daemon/src/caller/header_filter.ts
+++ b/packages/daemon/src/caller/header_filter.ts
@@ -83,7 +83,7 @@
 }
 
 /** Keeps the pairs that are not of the connection and that `keep` accepts. */
-function withoutHops(
+export function withoutHops(
   raw: readonly string[],
   keep: (name: string, value: string) => boolean,
 ): string[] {
--- /dev/null
+++ b/packages/gateway/src/backend_server/prober.ts
@@ -0,0 +1,65 @@
+/** Asks backend servers for their load; requests that ask at the same time share an answer. */
+import type {Clock, SharedServer, SharedService} from '@ragworthall/balancer';
+import type {GatewayLog} from '../log/gateway_log.js';
+import type {BackendDesk} from './backend_desk.js';
+
+/** Time after which a probe counts as unanswered, milliseconds. */
+const PROBE_MS = 150;
+const NEVER = new AbortController().signal;
+
+/** Probes of all backend servers. */
+export class Prober {
+  /** Probes sent since the start. */
+  sent = 0;
+  private readonly running = new Map<string, Promise<void>>();
+
+  constructor(
+    private readonly desk: BackendDesk,
+    private readonly clock: Clock,
+    private readonly log: GatewayLog,
+  ) {}
+
+  /** Asks a server; resolves when what it said has been taken in. */
+  ask(service: SharedService, server: SharedServer): Promise<void> {
+    const {id} = server.entry;
+    const running = this.running.get(id);
+    if (running) return running;
+    const probe = this.probe(service, server).finally(() =>
+      this.running.delete(id),
+    );
+    this.running.set(id, probe);
+    return probe;
+  }
+
+  private async probe(
+    service: SharedService,
+    server: SharedServer,
+  ): Promise<void> {
+    const path = service.terms?.healthPath;
+    if (path === undefined) return;
+    this.sent += 1;
+    const answer = await this.desk.probe(server, path, PROBE_MS, NEVER);
+    const now = this.clock.now();
+    switch (answer.kind) {
+      case 'answered':
+        server.answered();
+        server.observeHealth(answer.well);
+        if (answer.load) server.observe(answer.load, now);
+        service.reportsLoad ??= answer.load !== undefined;
+        return;
+      case 'misplaced':
+        server.foundMisplaced();
+        this.log.belief('server_misplaced', {server: server.entry.id});
+        return;
+      case 'failed':
+        server.unanswered(now);
+        this.log.belief('server_suspect', {
+          server: server.entry.id,
+          detail: answer.detail,
+        });
+        return;
+      default:
+        answer satisfies never;
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/instance/configuration_sink.ts
@@ -0,0 +1,55 @@
+/** Takes the operators' configuration into the deployment. */
+import {
+  type CallerBounds,
+  type Deployment,
+  NewsOutcome,
+  type RoutingConfiguration,
+} from '@ragworthall/balancer';
+import type {GatewayLog} from '../log/gateway_log.js';
+import type {RowNews} from '../platform/row_source.js';
+import type {RowSink} from '../platform/table_follower.js';
+
+/** The configuration row. */
+export class ConfigurationSink implements RowSink<RoutingConfiguration> {
+  constructor(
+    private readonly deployment: Deployment,
+    private readonly log: GatewayLog,
+    private readonly onBounds: (bounds: CallerBounds) => void,
+  ) {}
+
+  replace(rows: readonly RowNews<RoutingConfiguration>[]): void {
+    this.change(rows);
+  }
+
+  change(rows: readonly RowNews<RoutingConfiguration>[]): void {
+    rows.forEach(row => this.take(row));
+  }
+
+  regained(): void {
+    // Versions tell old from new, whatever happened meanwhile.
+  }
+
+  private take(row: RowNews<RoutingConfiguration>): void {
+    switch (row.kind) {
+      case 'value': {
+        const {version, routes, bounds} = row.value;
+        const outcome = this.deployment.configure(row.value);
+        this.log.belief('configuration', {
+          version,
+          outcome,
+          routes: routes.length,
+        });
+        if (outcome === NewsOutcome.Taken) this.onBounds(bounds);
+        return;
+      }
+      case 'removed':
+        this.log.belief('configuration_removed', {key: row.key});
+        return;
+      case 'unreadable':
+        this.log.belief('configuration_unreadable', {detail: row.detail});
+        return;
+      default:
+        row satisfies never;
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/instance/gateway.ts
@@ -0,0 +1,183 @@
+/** One entry instance on a platform whose store keeps registry and configuration. */
+import {
+  type Clock,
+  Deployment,
+  type RoutingConfiguration,
+  SeededRandom,
+  type SendBudgetTerms,
+  type ServerEntry,
+} from '@ragworthall/balancer';
+import {setTimeout as delay} from 'node:timers/promises';
+import {BackendDesk} from '../backend_server/backend_desk.js';
+import {Prober} from '../backend_server/prober.js';
+import {FrontServer} from '../caller/front_server.js';
+import type {GatewayLog} from '../log/gateway_log.js';
+import type {RowSource} from '../platform/row_source.js';
+import {TableFollower} from '../platform/table_follower.js';
+import type {WireNames} from '../platform/wire_names.js';
+import type {CallerRequest, RequestEnd} from '../request/caller_request.js';
+import {Locator} from '../request/locator.js';
+import {runRequest} from '../request/request_run.js';
+import {ConfigurationSink} from './configuration_sink.js';
+import {RegistrySink} from './registry_sink.js';
+
+/** Time for which callers may keep an address answer, milliseconds. */
+const KEEP_ADDRESS_MS = 1_000;
+/** Callers may keep it for this many times as long. */
+const KEEP_OVERRUN = 3;
+/** Part of the grace period after which what is left is cut. */
+const GRACE_PART = 0.97;
+/** Pause between two looks at what is in flight, milliseconds. */
+const DRAIN_LOOK_MS = 20;
+
+/** What a gateway is made of. */
+export interface GatewayParts {
+  readonly instance: string;
+  readonly failureDomain: string;
+  /** Where callers connect. */
+  readonly callers: {readonly host: string; readonly port: number};
+  readonly budget: SendBudgetTerms;
+  /** Time from the signal to stop until the process is ended, milliseconds. */
+  readonly graceMs: number;
+  readonly wire: WireNames;
+  readonly registry: RowSource<ServerEntry>;
+  readonly configurations: RowSource<RoutingConfiguration>;
+  readonly clock: Clock;
+  readonly log: GatewayLog;
+}
+
+/** What a caller is told who asks where to connect. */
+export interface AddressAnswer {
+  /** Addresses of instances, IP and port. */
+  readonly addresses: readonly string[];
+  /** Time for which the answer may be kept, milliseconds. */
+  readonly keepMs: number;
+}
+
+/** The entry instance. */
+export class Gateway implements AsyncDisposable {
+  private readonly deployment: Deployment;
+  private readonly backends: BackendDesk;
+  private readonly callers: FrontServer;
+  private readonly registrySink: RegistrySink;
+  private readonly tasks = new AbortController();
+  private running: Promise<unknown> = Promise.resolve();
+  private stopping = false;
+
+  private constructor(private readonly parts: GatewayParts) {
+    const {clock, log, wire, failureDomain, budget, instance} = parts;
+    const random = new SeededRandom(seedOf(instance));
+    this.deployment = new Deployment({failureDomain, budget, random});
+    this.backends = new BackendDesk(wire);
+    const prober = new Prober(this.backends, clock, log);
+    const desk = {
+      deployment: this.deployment,
+      locator: new Locator(prober, clock),
+      backends: this.backends,
+      clock,
+      log,
+    };
+    this.callers = new FrontServer(
+      request => this.handle(request, runRequest(desk, request)),
+      wire,
+      clock,
+    );
+    this.registrySink = new RegistrySink(
+      this.deployment,
+      this.backends,
+      clock,
+      log,
+    );
+  }
+
+  /** Starts to serve; rejects if the address is taken. */
+  static async start(parts: GatewayParts): Promise<Gateway> {
+    const gateway = new Gateway(parts);
+    const {host, port} = parts.callers;
+    await gateway.callers.listen(port, host);
+    gateway.followTables();
+    return gateway;
+  }
+
+  /** Whether callers should come here. */
+  get isReady(): boolean {
+    return this.deployment.isKnown && !this.stopping;
+  }
+
+  /** Where callers should connect; undefined if they should ask elsewhere. */
+  addresses(): AddressAnswer | undefined {
+    if (!this.isReady) return undefined;
+    const {host, port} = this.parts.callers;
+    return {addresses: [`${host}:${port}`], keepMs: KEEP_ADDRESS_MS};
+  }
+
+  /**
+   * Stops: callers are sent elsewhere at once and served until they have moved;
+   * then what is in flight ends. Resolves with whether all of it was answered.
+   */
+  async stop(): Promise<boolean> {
+    const {graceMs, log, clock} = this.parts;
+    const until = clock.now() + graceMs * GRACE_PART;
+    this.stopping = true;
+    this.callers.startClosing();
+    log.life('stopping', {graceMs});
+    await delay(KEEP_ADDRESS_MS * KEEP_OVERRUN);
+    this.callers.stopListening();
+    while (this.callers.isBusy && clock.now() < until) {
+      await delay(DRAIN_LOOK_MS);
+    }
+    const drained = !this.callers.isBusy;
+    log.life('stopped', {drained});
+    return drained;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.tasks.abort();
+    this.registrySink[Symbol.dispose]();
+    this.callers.stopListening();
+    this.backends[Symbol.dispose]();
+    await this.running;
+  }
+
+  private followTables(): void {
+    const {registry, configurations, clock, log} = this.parts;
+    const configurationSink = new ConfigurationSink(
+      this.deployment,
+      log,
+      bounds => this.callers.bound(bounds),
+    );
+    const followers = [
+      new TableFollower('registry', registry, this.registrySink, clock, log),
+      new TableFollower(
+        'configuration',
+        configurations,
+        configurationSink,
+        clock,
+        log,
+      ),
+    ];
+    this.running = Promise.all(followers.map(f => f.run(this.tasks.signal)));
+  }
+
+  private async handle(
+    request: CallerRequest,
+    run: Promise<RequestEnd>,
+  ): Promise<RequestEnd> {
+    const end = await run;
+    this.parts.log.request('ended', request.id, {
+      end: end.kind,
+      ...('reason' in end ? {reason: end.reason} : {}),
+      ...(end.kind === 'answered' ? {status: end.answer.status} : {}),
+      ms: Math.round(this.parts.clock.now() - request.arrivedAt),
+    });
+    return end;
+  }
+}
+
+/** Returns a seed that differs between instances. */
+function seedOf(instance: string): number {
+  return [...instance].reduce(
+    (seed, char) => (seed * 31 + char.charCodeAt(0)) | 0,
+    process.pid,
+  );
+}
--- /dev/null
+++ b/packages/gateway/src/platform/row_source.ts
@@ -0,0 +1,43 @@
+/** A table of the platform's store, as a follower reads it. */
+import type {Result} from 'neverthrow';
+
+/** One row: its value, or why there is none. */
+export type RowNews<T> =
+  | {readonly kind: 'value'; readonly key: string; readonly value: T}
+  | {readonly kind: 'removed'; readonly key: string}
+  /** The row was written by someone else, or in another format. */
+  | {
+      readonly kind: 'unreadable';
+      readonly key: string;
+      readonly detail: string;
+    };
+
+/** All rows at one version of the store. */
+export interface Snapshot<T> {
+  readonly rows: readonly RowNews<T>[];
+  readonly version: number;
+}
+
+/** What has changed since a version. */
+export type Changes<T> =
+  | ({readonly kind: 'changes'} & Snapshot<T>)
+  /** The store no longer knows; the table must be read in whole. */
+  | {readonly kind: 'history_lost'};
+
+/** Why the store gave no answer. */
+export interface StoreError {
+  readonly kind: 'refused' | 'unreachable' | 'unreadable';
+  readonly detail: string;
+}
+
+/** Reads one table. */
+export interface RowSource<T> {
+  /** Reads all rows. */
+  read(signal: AbortSignal): Promise<Result<Snapshot<T>, StoreError>>;
+  /** Waits up to `waitMs` for a change after `version`. */
+  changes(
+    version: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<Result<Changes<T>, StoreError>>;
+}
--- /dev/null
+++ b/packages/gateway/src/platform/table_follower.ts
@@ -0,0 +1,105 @@
+/** Follows one table of the platform's store. One task for each table. */
+import type {Clock} from '@ragworthall/balancer';
+import {setTimeout as delay} from 'node:timers/promises';
+import type {GatewayLog} from '../log/gateway_log.js';
+import type {RowNews, RowSource, Snapshot, StoreError} from './row_source.js';
+
+/** Longest time for which the store holds a question without news, milliseconds. */
+const WAIT_MS = 2_000;
+/** First pause after a failed call, milliseconds; it doubles. */
+const FIRST_PAUSE_MS = 150;
+/** Longest such pause, milliseconds. */
+const MAX_PAUSE_MS = 800;
+/** Pause after news, so that changes that come together are read together. */
+const GATHER_MS = 100;
+
+/** Who takes in the rows. */
+export interface RowSink<T> {
+  /** Takes in all rows of the table; rows that are not there are gone. */
+  replace(rows: readonly RowNews<T>[], now: number): void;
+  /** Takes in rows that have changed. */
+  change(rows: readonly RowNews<T>[], now: number): void;
+  /** Notes that the store answers again after it did not. */
+  regained(now: number): void;
+}
+
+/** The task that follows one table. */
+export class TableFollower<T> {
+  private failures = 0;
+
+  constructor(
+    private readonly table: string,
+    private readonly source: RowSource<T>,
+    private readonly sink: RowSink<T>,
+    private readonly clock: Clock,
+    private readonly log: GatewayLog,
+  ) {}
+
+  /** Runs until the signal comes. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const snapshot = await this.readAll(signal);
+      if (snapshot) await this.follow(snapshot.version, signal);
+    }
+  }
+
+  private async readAll(signal: AbortSignal): Promise<Snapshot<T> | undefined> {
+    const read = await this.source.read(signal);
+    if (read.isErr()) {
+      await this.failed(read.error, signal);
+      return undefined;
+    }
+    this.answered();
+    this.sink.replace(read.value.rows, this.clock.now());
+    return read.value;
+  }
+
+  /** Takes in changes until the store no longer knows them. */
+  private async follow(from: number, signal: AbortSignal): Promise<void> {
+    let version = from;
+    while (!signal.aborted) {
+      const read = await this.source.changes(version, WAIT_MS, signal);
+      if (read.isErr()) {
+        await this.failed(read.error, signal);
+        continue;
+      }
+      this.answered();
+      const changes = read.value;
+      switch (changes.kind) {
+        case 'history_lost':
+          this.log.belief('history_lost', {table: this.table, version});
+          return;
+        case 'changes':
+          version = changes.version;
+          if (changes.rows.length === 0) break;
+          this.sink.change(changes.rows, this.clock.now());
+          await pause(GATHER_MS, signal);
+          break;
+        default:
+          changes satisfies never;
+      }
+    }
+  }
+
+  private answered(): void {
+    if (this.failures === 0) return;
+    this.failures = 0;
+    this.log.dependency('store_regained', {table: this.table});
+    this.sink.regained(this.clock.now());
+  }
+
+  private async failed(err: StoreError, signal: AbortSignal): Promise<void> {
+    if (signal.aborted) return;
+    if (this.failures === 0) {
+      this.log.dependency('store_lost', {table: this.table, ...err});
+    }
+    const pauseMs = FIRST_PAUSE_MS * 2 ** Math.min(this.failures, 8);
+    this.failures += 1;
+    await pause(Math.min(MAX_PAUSE_MS, pauseMs), signal);
+  }
+}
+
+async function pause(ms: number, signal: AbortSignal): Promise<void> {
+  // Rejects only when the signal ends the task, which its loop looks at.
+  await delay(ms, undefined, {signal}).catch(() => undefined);
+}
--- /dev/null
+++ b/packages/gateway/src/request/request_run.ts
@@ -0,0 +1,215 @@
+/** The way of one request: match, find a server, send, answer. */
+import type {
+  Clock,
+  Deployment,
+  Route,
+  SharedServer,
+  SharedService,
+} from '@ragworthall/balancer';
+import type {BackendDesk} from '../backend_server/backend_desk.js';
+import type {SendResult, ServerAnswer} from '../backend_server/send_result.js';
+import type {GatewayLog} from '../log/gateway_log.js';
+import {
+  type CallerRequest,
+  Failure,
+  type RequestEnd,
+} from './caller_request.js';
+import type {Locator} from './locator.js';
+
+/** Time left below which a request is not worth sending, milliseconds. */
+const MIN_LEFT_MS = 10;
+/** Time for which an answer is waited for beyond its end, milliseconds. */
+const ANSWER_MARGIN_MS = 60;
+/** Time after which a refused caller may come again, milliseconds. */
+const RETRY_AFTER_MS = 150;
+/** Longest idle time of a connection that carries what must not repeat, milliseconds. */
+const UNREPEATABLE_IDLE_MS = 2_000;
+/** The same for what may repeat. */
+const REPEATABLE_IDLE_MS = 8_000;
+/** Sends of one request that no server ran, beyond its attempts. */
+const MAX_UNSENT = 3;
+/** First status of a backend server's own failure. */
+const SERVER_ERROR = 500;
+const NEVER = new AbortController().signal;
+
+/** What runs share. */
+export interface RunDesk {
+  readonly deployment: Deployment;
+  readonly locator: Locator;
+  readonly backends: BackendDesk;
+  readonly clock: Clock;
+  readonly log: GatewayLog;
+}
+
+/** Runs one request to its end. */
+export async function runRequest(
+  desk: RunDesk,
+  request: CallerRequest,
+): Promise<RequestEnd> {
+  const {deployment, clock} = desk;
+  const {routes} = deployment;
+  if (!routes || !deployment.isKnown) return refused(Failure.Starting);
+  const matched = routes.match(request.host, request.target);
+  if (!matched) return {kind: 'no_route'};
+  const {route, split} = matched;
+  const service = deployment.service(split.next());
+  service.budget.requested(clock.now());
+  return new RequestRun(desk, request, route, service).run();
+}
+
+/** One request on its way to backend servers. */
+class RequestRun {
+  private readonly tried = new Set<string>();
+  private readonly endsAt: number;
+  private sends = 0;
+  private unsent = 0;
+  /** Whether a server may have run it. */
+  private mayHaveRun = false;
+  /** A server's failure that is passed on unless a better answer comes. */
+  private failed: ServerAnswer | undefined;
+
+  constructor(
+    private readonly desk: RunDesk,
+    private readonly request: CallerRequest,
+    private readonly route: Route,
+    private readonly service: SharedService,
+  ) {
+    const {arrivedAt, waitsMs} = request;
+    this.endsAt = arrivedAt + Math.min(waitsMs, route.timeoutMs);
+  }
+
+  async run(): Promise<RequestEnd> {
+    for (;;) {
+      const server = await this.locate();
+      if (this.request.left.aborted) return {kind: 'abandoned'};
+      const now = this.desk.clock.now();
+      if (!server) return this.giveUp(Failure.NoRoom);
+      if (this.endsAt - now < MIN_LEFT_MS) return this.giveUp(Failure.Expired);
+      if (this.sends > 0 && !this.service.budget.trySpend(now)) {
+        return this.giveUp(Failure.Shed);
+      }
+      const end = await this.send(server);
+      if (end) return end;
+      const exhausted =
+        this.sends >= this.route.maxAttempts || this.unsent > MAX_UNSENT;
+      if (exhausted) return this.giveUp(Failure.Shed);
+    }
+  }
+
+  private locate(): Promise<SharedServer | undefined> {
+    const {arrivedAt, left} = this.request;
+    const {service, route, tried} = this;
+    return this.desk.locator.locate(service, route, tried, arrivedAt, left);
+  }
+
+  /** Sends it once; undefined if it may be sent again. */
+  private async send(server: SharedServer): Promise<RequestEnd | undefined> {
+    const {desk, request, route, service} = this;
+    const startedAt = desk.clock.now();
+    const cost = server.expectedCost(startedAt);
+    const timeLeftMs = this.endsAt - startedAt;
+    desk.log.request('sent', request.id, {
+      route: route.name,
+      server: server.entry.id,
+      cost: round(cost),
+      load: server.load,
+      reportAgeMs: Math.round(server.reportAge(startedAt)),
+      attempt: this.sends + 1,
+      timeLeftMs: Math.round(timeLeftMs),
+    });
+    this.sends += 1;
+    this.tried.add(server.entry.id);
+    server.send();
+    const result = await desk.backends.send(server, {
+      id: request.id,
+      request,
+      timeLeftMs,
+      giveUpMs: timeLeftMs + ANSWER_MARGIN_MS,
+      maxIdleMs: route.idempotent ? REPEATABLE_IDLE_MS : UNREPEATABLE_IDLE_MS,
+      // What must not repeat runs to its end: its outcome matters to someone.
+      signal: route.idempotent ? request.left : NEVER,
+    });
+    server.ended();
+    const now = desk.clock.now();
+    this.learn(server, result, now);
+    if (result.kind === 'answered') {
+      service.took(route.name, now - startedAt, cost);
+    }
+    return this.judge(result);
+  }
+
+  /** Takes in what a send says of its server. */
+  private learn(server: SharedServer, result: SendResult, now: number): void {
+    switch (result.kind) {
+      case 'answered':
+        server.answered();
+        if (result.load) server.observe(result.load, now);
+        if (result.answer.status >= SERVER_ERROR) server.failed(now);
+        else server.succeeded(now);
+        return;
+      case 'not_run':
+        server.answered();
+        if (result.load) server.observe(result.load, now);
+        if (result.misplaced) server.foundMisplaced();
+        else server.failed(now);
+        return;
+      case 'not_sent':
+        server.unanswered(now);
+        return;
+      case 'lost':
+        server.failed(now);
+        return;
+      case 'late':
+        server.failed(now);
+        return;
+      case 'abandoned':
+        return;
+      default:
+        result satisfies never;
+    }
+  }
+
+  /** Decides by a send's result; undefined if another send may follow. */
+  private judge(result: SendResult): RequestEnd | undefined {
+    const {idempotent} = this.route;
+    switch (result.kind) {
+      case 'answered':
+        if (!idempotent || result.answer.status < SERVER_ERROR) return result;
+        this.failed = result.answer;
+        return undefined;
+      case 'not_run':
+        return undefined;
+      case 'not_sent':
+        this.unsent += 1;
+        this.sends -= 1;
+        return undefined;
+      case 'lost':
+        this.mayHaveRun = true;
+        return idempotent ? undefined : unknown(Failure.Lost);
+      case 'late':
+        this.mayHaveRun = true;
+        return unknown(Failure.Late);
+      case 'abandoned':
+        return result;
+      default:
+        return result satisfies never;
+    }
+  }
+
+  private giveUp(reason: Failure): RequestEnd {
+    if (this.failed) return {kind: 'answered', answer: this.failed};
+    return this.mayHaveRun ? unknown(Failure.Lost) : refused(reason);
+  }
+}
+
+function refused(reason: Failure): RequestEnd {
+  return {kind: 'refused', reason, retryAfterMs: RETRY_AFTER_MS};
+}
+
+function unknown(reason: Failure): RequestEnd {
+  return {kind: 'unknown', reason};
+}
+
+function round(value: number): number {
+  return Math.round(value * 100) / 100;
+}
