Take no answer without a length for whole when a reset ends it

Ruled out: the order of the error listeners; no error event comes at all. An empty write at the end returns the error that the socket still holds.

--- a/packages/gateway/src/backend_server/backend_connection.ts
+++ b/packages/gateway/src/backend_server/backend_connection.ts
@@ -7,6 +7,7 @@
 const KEEP_IDLE_MS = 60_000;
 /** Time by which a connection is closed before the server closes it, milliseconds. */
 const IDLE_MARGIN_MS = 1_000;
+const NOTHING = Buffer.alloc(0);
 
 /** A request as it is sent. */
 export interface OutgoingRequest {
@@ -104,6 +105,12 @@
       if (this.socket === socket) this.broken = true;
       settle(err);
     });
+    // libuv reports a reset right behind data as an end, and keeps the error of
+    // the socket; an empty write returns it.
+    socket.once('end', () => {
+      socket.write(NOTHING);
+      if (socket.errored && this.socket === socket) this.broken = true;
+    });
     socket.once('connect', () => settle(null));
     socket.once('close', () => settle(new Error('closed while connecting')));
   }
