--- a/packages/balancer/src/backend_server/shared_server.ts
+++ b/packages/balancer/src/backend_server/shared_server.ts
@@ -60,6 +60,10 @@
 const FIRST_SUSPICION_MS = 300;
 /** Longest such time, milliseconds. */
 const MAX_SUSPICION_MS = 3_000;
+/** Time after which a question without an answer means that the server is busy, milliseconds. */
+const BUSY_AFTER_MS = 20;
+/** Factor on the expected time of a server that is busy in this way. */
+const BUSY_COST = 3;
 /** Factor on the expected time of a server that says it is not well. */
 const UNWELL_COST = 20;
 
@@ -69,6 +73,10 @@
   inFlight = 0;
   /** Time of the last report on the monotonic clock, milliseconds. */
   reportedAt = -Infinity;
+  /** Time of the last question about its load on the monotonic clock, milliseconds. */
+  askedAt = -Infinity;
+  /** Whether that question waits for its answer. */
+  isAsked = false;
   private report: LoadReport | undefined;
   /** Requests sent from here since the last report. */
   private sentSince = 0;
@@ -109,16 +117,15 @@
     return now - this.reportedAt;
   }
 
-  /** Requests that run or wait there, as far as is known. */
-  get load(): number {
+  /**
+   * Requests that are expected to run or wait there. What it reported for
+   * others counts for less as the report grows old.
+   */
+  loadAt(now: number): number {
     const {report} = this;
     const reported = report ? report.running + report.waiting : 0;
-    return Math.max(this.inFlight, reported + this.sentSince);
-  }
-
-  /** Requests that wait there, as far as is known. */
-  get queued(): number {
-    return Math.max(0, this.load - this.slots);
+    const weight = Math.exp(-this.reportAge(now) / REPORT_DECAY_MS);
+    return Math.max(this.inFlight, (reported + this.sentSince) * weight);
   }
 
   /** The slots that it reports, or else those of its entry. */
@@ -131,8 +138,8 @@
    * idle server of usual speed.
    */
   expectedCost(now: number): number {
-    const {slots, load} = this;
-    const after = load + 1;
+    const {slots} = this;
+    const after = this.loadAt(now) + 1;
     const weight = Math.exp(-this.reportAge(now) / REPORT_DECAY_MS);
     const reported = this.report?.slowness ?? TYPICAL_SLOWNESS;
     const slowness = reported * weight + TYPICAL_SLOWNESS * (1 - weight);
@@ -140,8 +147,21 @@
     const turns = 1 + Math.max(0, after - slots) / slots;
     const warm = now < this.warmUntil ? WARM_UP_SLOWNESS : 1;
     const unwell = this.unwell ? UNWELL_COST : 1;
+    const busy = this.isAsked && now - this.askedAt > BUSY_AFTER_MS;
     const failing = 1 + FAILURE_COST * this.failuresNow(now);
-    return slowness * full * turns * warm * unwell * failing;
+    const expected = slowness * full * turns * warm * failing;
+    return expected * unwell * (busy ? BUSY_COST : 1);
+  }
+
+  /** Notes that it is asked about its load. */
+  ask(now: number): void {
+    this.askedAt = now;
+    this.isAsked = true;
+  }
+
+  /** Notes that the question was answered or given up. */
+  askEnded(): void {
+    this.isAsked = false;
   }
 
   /** Counts a request that is sent there. */
--- a/packages/balancer/src/service/shared_service.ts
+++ b/packages/balancer/src/service/shared_service.ts
@@ -1,6 +1,6 @@
 /** A service whose backend servers all instances send to. */
 import type {Random} from '../link/random.js';
-import type {ServiceTerms} from '../route/route.js';
+import type {Route, ServiceTerms} from '../route/route.js';
 import {
   type ServerEntry,
   SharedServer,
@@ -15,8 +15,18 @@
 const DISTANCE_COST = 1.04;
 /** Size of the random part of a comparison, so that equal servers take turns. */
 const TIE_COST = 0.02;
-/** Requests that may wait at one server, in multiples of its slots. */
-const MAX_QUEUED_PER_SLOT = 1;
+/** Cost above which a server is not worth asking. */
+const ASK_COST = 2.6;
+/** Servers that are asked at the same time. */
+const WAVE = 3;
+/** Pause before a server is asked again, milliseconds. */
+const ASK_AGAIN_MS = 30;
+/** Part of a target by which an answer is expected to make it. */
+const TARGET_MARGIN = 0.92;
+/** Usual times within which a good server answers. */
+const GOOD_TIMES = 1.2;
+/** Usual time as a part of the target, while it is not known. */
+const ASSUMED_USUAL = 0.35;
 /** Weight of the newest sample in the usual time. */
 const SAMPLE_WEIGHT = 0.1;
 /** Cost of a suspect server: any other goes first. */
@@ -28,15 +38,24 @@
   readonly cost: number;
 }
 
-/** Whether a candidate's report is young enough to send without asking. */
-export function isCurrent({server}: Candidate, now: number): boolean {
-  return server.reportAge(now) <= CURRENT_MS;
+/** A request that looks for a server. */
+export interface Seeker {
+  readonly route: Route;
+  /** Time of arrival on the monotonic clock, milliseconds. */
+  readonly arrivedAt: number;
+  /** Time at which nobody waits for the answer any more. */
+  readonly endsAt: number;
+  /** Servers that it was sent to before. */
+  readonly tried: ReadonlySet<string>;
 }
 
-/** Whether a candidate needs no better one. */
-export function isGood({cost}: Candidate): boolean {
-  return cost <= GOOD_COST;
-}
+/** What a seeker may do now. */
+export type Place =
+  | {readonly kind: 'send'; readonly candidate: Candidate}
+  /** Ask these servers for their load first. */
+  | {readonly kind: 'ask'; readonly servers: readonly SharedServer[]}
+  /** No server serves it well now. */
+  | {readonly kind: 'wait'};
 
 /** Backend servers of one service, as this instance knows them. */
 export class SharedService {
@@ -80,13 +99,35 @@
       .sort((a, b) => a.cost - b.cost);
   }
 
-  /** Whether a server has room for one more request. */
-  hasRoom(server: SharedServer): boolean {
-    return server.load < server.slots * (1 + MAX_QUEUED_PER_SLOT);
+  /** Decides where a request goes, or what has to be known for that. */
+  place(seeker: Seeker, now: number): Place {
+    const candidates = this.candidates(seeker.tried, now);
+    const best = candidates[0];
+    if (!best) return WAIT;
+    if (isCurrent(best, now) && best.cost <= GOOD_COST) return sendTo(best);
+    const ask = candidates.filter(c => isWorthAsking(c, now)).slice(0, WAVE);
+    if (ask.length > 0) return {kind: 'ask', servers: ask.map(c => c.server)};
+    return this.settleFor(seeker, candidates, now);
+  }
+
+  /** Returns a server that is known to be good; undefined if none is. */
+  goodFor(seeker: Seeker, now: number): Candidate | undefined {
+    const best = this.candidates(seeker.tried, now)[0];
+    const isGood = best && isCurrent(best, now) && best.cost <= GOOD_COST;
+    return isGood ? best : undefined;
   }
 
-  /** Takes in how long a request took at a server of this slowness. */
+  /** Whether a good server would still answer a request within its target. */
+  isReachable(seeker: Seeker, now: number): boolean {
+    const {route, arrivedAt} = seeker;
+    const doneAt = now + GOOD_TIMES * this.expectedMs(route);
+    return doneAt <= arrivedAt + route.targetMs;
+  }
+
+  /** Takes in how long a request took at a server of this expected cost. */
   took(route: string, ms: number, cost: number): void {
+    // Slower servers say more about themselves than about the request.
+    if (cost > GOOD_COST && this.usualMs.has(route)) return;
     const sample = ms / Math.max(1, cost);
     const known = this.usualMs.get(route);
     const usual =
@@ -99,6 +140,34 @@
     return this.usualMs.get(route);
   }
 
+  /** Chooses among servers none of which is good. */
+  private settleFor(
+    seeker: Seeker,
+    candidates: readonly Candidate[],
+    now: number,
+  ): Place {
+    const {route, arrivedAt, endsAt} = seeker;
+    const usualMs = this.expectedMs(route);
+    const dueAt = arrivedAt + route.targetMs * TARGET_MARGIN;
+    const makesIt = candidates.find(
+      ({server, cost}) =>
+        server.loadAt(now) < server.slots && now + cost * usualMs <= dueAt,
+    );
+    if (makesIt) return sendTo(makesIt);
+    if (this.isReachable(seeker, now)) return WAIT;
+    // Late in any case: the slowest server that still answers in time leaves
+    // the better ones to requests that can make their targets.
+    const late = candidates.findLast(
+      ({server, cost}) =>
+        server.loadAt(now) < server.slots && now + cost * usualMs <= endsAt,
+    );
+    return late ? sendTo(late) : WAIT;
+  }
+
+  private expectedMs(route: Route): number {
+    return this.usualMs.get(route.name) ?? route.targetMs * ASSUMED_USUAL;
+  }
+
   private costOf(server: SharedServer, now: number): number {
     const near = server.entry.failureDomain === this.failureDomain;
     const tie = 1 + (TIE_COST * this.random.below(1_024)) / 1_024;
@@ -108,6 +177,26 @@
   }
 }
 
+const WAIT: Place = {kind: 'wait'};
+
+function sendTo(candidate: Candidate): Place {
+  return {kind: 'send', candidate};
+}
+
+/** Whether a candidate's report is young enough to send without asking. */
+function isCurrent({server}: Candidate, now: number): boolean {
+  return server.reportAge(now) <= CURRENT_MS;
+}
+
+function isWorthAsking({server, cost}: Candidate, now: number): boolean {
+  return (
+    cost <= ASK_COST &&
+    server.reportAge(now) > CURRENT_MS &&
+    !server.isAsked &&
+    now - server.askedAt > ASK_AGAIN_MS
+  );
+}
+
 /** Returns whether an entry is news about a server process that is known. */
 export function isNewer(entry: ServerEntry, known: ServerEntry): boolean {
   if (entry.startedAt !== known.startedAt) {
--- a/packages/gateway/src/backend_server/prober.ts
+++ b/packages/gateway/src/backend_server/prober.ts
@@ -3,8 +3,10 @@
 import type {GatewayLog} from '../log/gateway_log.js';
 import type {BackendDesk} from './backend_desk.js';
 
-/** Time after which a probe counts as unanswered, milliseconds. */
-const PROBE_MS = 150;
+/** Time after which the server is suspect, milliseconds. */
+const SUSPECT_MS = 200;
+/** Time after which a probe is given up with its connection, milliseconds. */
+const PROBE_MS = 1_200;
 const NEVER = new AbortController().signal;
 
 /** Probes of all backend servers. */
@@ -38,7 +40,14 @@
     const path = service.terms?.healthPath;
     if (path === undefined) return;
     this.sent += 1;
+    server.ask(this.clock.now());
+    const suspicion = setTimeout(
+      () => server.unanswered(this.clock.now()),
+      SUSPECT_MS,
+    );
     const answer = await this.desk.probe(server, path, PROBE_MS, NEVER);
+    clearTimeout(suspicion);
+    server.askEnded();
     const now = this.clock.now();
     switch (answer.kind) {
       case 'answered':
--- a/packages/gateway/src/instance/gateway.ts
+++ b/packages/gateway/src/instance/gateway.ts
@@ -16,8 +16,8 @@
 import {TableFollower} from '../platform/table_follower.js';
 import type {WireNames} from '../platform/wire_names.js';
 import type {CallerRequest, RequestEnd} from '../request/caller_request.js';
-import {Locator} from '../request/locator.js';
 import {runRequest} from '../request/request_run.js';
+import {WaitingRooms} from '../request/waiting_room.js';
 import {ConfigurationSink} from './configuration_sink.js';
 import {RegistrySink} from './registry_sink.js';
 
@@ -72,7 +72,7 @@
     const prober = new Prober(this.backends, clock, log);
     const desk = {
       deployment: this.deployment,
-      locator: new Locator(prober, clock),
+      rooms: new WaitingRooms(prober, clock),
       backends: this.backends,
       clock,
       log,
--- a/packages/gateway/src/request/request_run.ts
+++ b/packages/gateway/src/request/request_run.ts
@@ -1,11 +1,15 @@
 /** The way of one request: match, find a server, send, answer. */
-import type {
-  Clock,
-  Deployment,
-  Route,
-  SharedServer,
-  SharedService,
+import {
+  type Candidate,
+  type Clock,
+  type Deployment,
+  hedgeDelayMs,
+  type Route,
+  type Seeker,
+  type SharedServer,
+  type SharedService,
 } from '@ragworthall/balancer';
+import {setTimeout as delay} from 'node:timers/promises';
 import type {BackendDesk} from '../backend_server/backend_desk.js';
 import type {SendResult, ServerAnswer} from '../backend_server/send_result.js';
 import type {GatewayLog} from '../log/gateway_log.js';
@@ -14,7 +18,7 @@
   Failure,
   type RequestEnd,
 } from './caller_request.js';
-import type {Locator} from './locator.js';
+import type {WaitingRoom, WaitingRooms} from './waiting_room.js';
 
 /** Time left below which a request is not worth sending, milliseconds. */
 const MIN_LEFT_MS = 10;
@@ -30,12 +34,14 @@
 const MAX_UNSENT = 3;
 /** First status of a backend server's own failure. */
 const SERVER_ERROR = 500;
+/** Usual times after which a missing answer speaks against its server. */
+const OVERDUE_TIMES = 5;
 const NEVER = new AbortController().signal;
 
 /** What runs share. */
 export interface RunDesk {
   readonly deployment: Deployment;
-  readonly locator: Locator;
+  readonly rooms: WaitingRooms;
   readonly backends: BackendDesk;
   readonly clock: Clock;
   readonly log: GatewayLog;
@@ -80,15 +86,14 @@
 
   async run(): Promise<RequestEnd> {
     for (;;) {
-      const server = await this.locate();
-      if (this.request.left.aborted) return {kind: 'abandoned'};
-      const now = this.desk.clock.now();
-      if (!server) return this.giveUp(Failure.NoRoom);
-      if (this.endsAt - now < MIN_LEFT_MS) return this.giveUp(Failure.Expired);
-      if (this.sends > 0 && !this.service.budget.trySpend(now)) {
-        return this.giveUp(Failure.Shed);
+      const found = await this.room.find(this.seeker, this.request.left);
+      if (!found) return this.giveUp(Failure.NoRoom);
+      const refusal = this.refusalBeforeSend();
+      if (refusal) {
+        found.server.ended();
+        return refusal;
       }
-      const end = await this.send(server);
+      const end = await this.attempt(found);
       if (end) return end;
       const exhausted =
         this.sends >= this.route.maxAttempts || this.unsent > MAX_UNSENT;
@@ -96,30 +101,86 @@
     }
   }
 
-  private locate(): Promise<SharedServer | undefined> {
-    const {arrivedAt, left} = this.request;
-    const {service, route, tried} = this;
-    return this.desk.locator.locate(service, route, tried, arrivedAt, left);
+  /** Returns why it is not sent after all. */
+  private refusalBeforeSend(): RequestEnd | undefined {
+    const now = this.desk.clock.now();
+    if (this.request.left.aborted) return {kind: 'abandoned'};
+    if (this.endsAt - now < MIN_LEFT_MS) return this.giveUp(Failure.Expired);
+    if (this.sends === 0 || this.service.budget.trySpend(now)) return undefined;
+    return this.giveUp(Failure.Shed);
+  }
+
+  private get room(): WaitingRoom {
+    return this.desk.rooms.of(this.service);
+  }
+
+  private get seeker(): Seeker {
+    const {route, endsAt, tried} = this;
+    return {route, arrivedAt: this.request.arrivedAt, endsAt, tried};
+  }
+
+  /**
+   * Sends it, and once more to a second server if the first one takes longer
+   * than it should; undefined if it may be sent again.
+   */
+  private async attempt(found: Candidate): Promise<RequestEnd | undefined> {
+    const first = this.send(found);
+    const waitMs = this.hedgeDelay();
+    if (waitMs === undefined) return first;
+    const late = new AbortController();
+    const timer = delay(waitMs, 'late' as const, {signal: late.signal}).catch(
+      () => undefined,
+    );
+    const early = await Promise.race([first, timer]);
+    late.abort();
+    if (early !== 'late') return early;
+    const second = await this.sendRival();
+    return second ? firstEnd([first, second.end]) : first;
+  }
+
+  /** Time until a second server is tried; undefined if none may be. */
+  private hedgeDelay(): number | undefined {
+    const {route, service} = this;
+    if (!route.idempotent || this.sends >= route.maxAttempts) return undefined;
+    const elapsedMs = this.desk.clock.now() - this.request.arrivedAt;
+    return hedgeDelayMs(service.usual(route.name), route.targetMs, elapsedMs);
+  }
+
+  /** Sends it to a second server that is known to be good, if there is one. */
+  private async sendRival(): Promise<
+    {readonly end: Promise<RequestEnd | undefined>} | undefined
+  > {
+    const {desk, request, service} = this;
+    if (request.left.aborted) return undefined;
+    if (service.budget.left(desk.clock.now()) < 1) return undefined;
+    const rival = await this.room.findNow(this.seeker);
+    if (!rival) return undefined;
+    const now = desk.clock.now();
+    const isUseful = this.endsAt - now >= MIN_LEFT_MS && !request.left.aborted;
+    if (!isUseful || !service.budget.trySpend(now)) {
+      rival.server.ended();
+      return undefined;
+    }
+    // In an object: a promise would be waited for by whoever awaits this.
+    return {end: this.send(rival)};
   }
 
   /** Sends it once; undefined if it may be sent again. */
-  private async send(server: SharedServer): Promise<RequestEnd | undefined> {
+  private async send({server, cost}: Candidate): Promise<RequestEnd | undefined> {
     const {desk, request, route, service} = this;
     const startedAt = desk.clock.now();
-    const cost = server.expectedCost(startedAt);
     const timeLeftMs = this.endsAt - startedAt;
     desk.log.request('sent', request.id, {
       route: route.name,
       server: server.entry.id,
       cost: round(cost),
-      load: server.load,
+      load: round(server.loadAt(startedAt)),
       reportAgeMs: Math.round(server.reportAge(startedAt)),
       attempt: this.sends + 1,
       timeLeftMs: Math.round(timeLeftMs),
     });
     this.sends += 1;
     this.tried.add(server.entry.id);
-    server.send();
     const result = await desk.backends.send(server, {
       id: request.id,
       request,
@@ -130,8 +191,9 @@
       signal: route.idempotent ? request.left : NEVER,
     });
     server.ended();
+    this.room.changed();
     const now = desk.clock.now();
-    this.learn(server, result, now);
+    this.learn(server, result, now, now - startedAt);
     if (result.kind === 'answered') {
       service.took(route.name, now - startedAt, cost);
     }
@@ -139,7 +201,12 @@
   }
 
   /** Takes in what a send says of its server. */
-  private learn(server: SharedServer, result: SendResult, now: number): void {
+  private learn(
+    server: SharedServer,
+    result: SendResult,
+    now: number,
+    tookMs: number,
+  ): void {
     switch (result.kind) {
       case 'answered':
         server.answered();
@@ -163,6 +230,8 @@
         server.failed(now);
         return;
       case 'abandoned':
+        // The caller left because no answer came in several usual times.
+        if (tookMs > this.overdueMs()) server.failed(now);
         return;
       default:
         result satisfies never;
@@ -196,12 +265,33 @@
     }
   }
 
+  /** Time after which a missing answer speaks against its server. */
+  private overdueMs(): number {
+    const usual = this.service.usual(this.route.name);
+    return usual === undefined ? Infinity : usual * OVERDUE_TIMES;
+  }
+
   private giveUp(reason: Failure): RequestEnd {
     if (this.failed) return {kind: 'answered', answer: this.failed};
     return this.mayHaveRun ? unknown(Failure.Lost) : refused(reason);
   }
 }
 
+/** Returns the first end; undefined when all have ended without one. */
+async function firstEnd(
+  ends: readonly Promise<RequestEnd | undefined>[],
+): Promise<RequestEnd | undefined> {
+  return new Promise(resolve => {
+    let open = ends.length;
+    ends.forEach(pending => {
+      void pending.then(end => {
+        open -= 1;
+        if (end || open === 0) resolve(end);
+      });
+    });
+  });
+}
+
 function refused(reason: Failure): RequestEnd {
   return {kind: 'refused', reason, retryAfterMs: RETRY_AFTER_MS};
 }
