Send only on a report that is young, and ask again sooner after good news

Now a report counts 40 ms, or 100 ms if it spoke against its server, and requests that are late anyway need a young report too.

--- a/packages/balancer/src/service/shared_service.ts
+++ b/packages/balancer/src/service/shared_service.ts
@@ -15,8 +15,8 @@
 const DISTANCE_COST = 1.04;
 /** Size of the random part of a comparison, so that equal servers take turns. */
 const TIE_COST = 0.02;
-/** Cost above which a server is not worth asking. */
-const ASK_COST = 2.6;
+/** Age up to which a report that spoke against a server counts, milliseconds. */
+const BAD_NEWS_MS = 100;
 /** Servers that are asked at the same time. */
 const WAVE = 3;
 /** Pause before a server is asked again, milliseconds. */
@@ -104,16 +104,19 @@
     const candidates = this.candidates(seeker.tried, now);
     const best = candidates[0];
     if (!best) return WAIT;
-    if (isCurrent(best, now) && best.cost <= GOOD_COST) return sendTo(best);
-    const ask = candidates.filter(c => isWorthAsking(c, now)).slice(0, WAVE);
-    if (ask.length > 0) return {kind: 'ask', servers: ask.map(c => c.server)};
-    return this.settleFor(seeker, candidates, now);
+    if (this.isCurrent(best, now) && best.cost <= GOOD_COST) {
+      return sendTo(best);
+    }
+    const ask = this.worthAsking(candidates, now);
+    if (ask.length > 0) return {kind: 'ask', servers: ask};
+    const known = candidates.filter(c => this.isKnown(c, now));
+    return this.settleFor(seeker, known, now);
   }
 
   /** Returns a server that is known to be good; undefined if none is. */
   goodFor(seeker: Seeker, now: number): Candidate | undefined {
     const best = this.candidates(seeker.tried, now)[0];
-    const isGood = best && isCurrent(best, now) && best.cost <= GOOD_COST;
+    const isGood = best && this.isCurrent(best, now) && best.cost <= GOOD_COST;
     return isGood ? best : undefined;
   }
 
@@ -164,6 +167,34 @@
     return late ? sendTo(late) : WAIT;
   }
 
+  /** Servers to ask for their load, those that look best first. */
+  private worthAsking(
+    candidates: readonly Candidate[],
+    now: number,
+  ): readonly SharedServer[] {
+    return candidates
+      .filter(
+        candidate =>
+          !this.isKnown(candidate, now) &&
+          !candidate.server.isAsked &&
+          now - candidate.server.askedAt > ASK_AGAIN_MS,
+      )
+      .slice(0, WAVE)
+      .map(({server}) => server);
+  }
+
+  /** Whether a candidate's report is young enough to act upon. */
+  private isKnown({server, cost}: Candidate, now: number): boolean {
+    if (this.reportsLoad === false) return true;
+    const limitMs = cost <= GOOD_COST ? CURRENT_MS : BAD_NEWS_MS;
+    return server.reportAge(now) <= limitMs;
+  }
+
+  /** Whether a candidate's report is young enough to count as its state. */
+  private isCurrent({server}: Candidate, now: number): boolean {
+    return this.reportsLoad === false || server.reportAge(now) <= CURRENT_MS;
+  }
+
   private expectedMs(route: Route): number {
     return this.usualMs.get(route.name) ?? route.targetMs * ASSUMED_USUAL;
   }
@@ -183,20 +214,6 @@
   return {kind: 'send', candidate};
 }
 
-/** Whether a candidate's report is young enough to send without asking. */
-function isCurrent({server}: Candidate, now: number): boolean {
-  return server.reportAge(now) <= CURRENT_MS;
-}
-
-function isWorthAsking({server, cost}: Candidate, now: number): boolean {
-  return (
-    cost <= ASK_COST &&
-    server.reportAge(now) > CURRENT_MS &&
-    !server.isAsked &&
-    now - server.askedAt > ASK_AGAIN_MS
-  );
-}
-
 /** Returns whether an entry is news about a server process that is known. */
 export function isNewer(entry: ServerEntry, known: ServerEntry): boolean {
   if (entry.startedAt !== known.startedAt) {
