--- a/packages/balancer/src/backend_server/shared_server.ts
+++ b/packages/balancer/src/backend_server/shared_server.ts
@@ -42,6 +42,10 @@
 
 /** Time constant with which a report loses its value, milliseconds. */
 const REPORT_DECAY_MS = 250;
+/** Age up to which a report of requests in flight counts in full, milliseconds. */
+const LOAD_HOLDS_MS = 100;
+/** Time in which a request that was just sent may be missing in a report, milliseconds. */
+const SENDS_KEPT_MS = 1_000;
 /** Slowness that is expected of a server without a recent report. */
 const TYPICAL_SLOWNESS = 1.7;
 /** Share of the slots in use from which servers commonly slow down. */
@@ -78,8 +82,8 @@
   /** Whether that question waits for its answer. */
   isAsked = false;
   private report: LoadReport | undefined;
-  /** Requests sent from here since the last report. */
-  private sentSince = 0;
+  /** Times of the requests sent from here that the last report does not count. */
+  private sentAt: number[] = [];
   private failures = 0;
   private failuresAt = 0;
   private suspectUntil = -Infinity;
@@ -124,8 +128,9 @@
   loadAt(now: number): number {
     const {report} = this;
     const reported = report ? report.running + report.waiting : 0;
-    const weight = Math.exp(-this.reportAge(now) / REPORT_DECAY_MS);
-    return Math.max(this.inFlight, (reported + this.sentSince) * weight);
+    const age = Math.max(0, this.reportAge(now) - LOAD_HOLDS_MS);
+    const weight = Math.exp(-age / REPORT_DECAY_MS);
+    return Math.max(this.inFlight, (reported + this.sentAt.length) * weight);
   }
 
   /** The slots that it reports, or else those of its entry. */
@@ -165,9 +170,10 @@
   }
 
   /** Counts a request that is sent there. */
-  send(): void {
+  send(now: number): void {
     this.inFlight += 1;
-    this.sentSince += 1;
+    this.sentAt = this.sentAt.filter(at => now - at < SENDS_KEPT_MS);
+    this.sentAt.push(now);
   }
 
   /** Counts the end of a request that was sent there. */
@@ -175,11 +181,15 @@
     this.inFlight -= 1;
   }
 
-  /** Takes in a report of its load. */
-  observe(report: LoadReport, now: number): void {
+  /**
+   * Takes in a report of its load.
+   *
+   * @param asOf Time from which on sent requests may be missing in it.
+   */
+  observe(report: LoadReport, asOf: number, now: number): void {
     this.report = report;
     this.reportedAt = now;
-    this.sentSince = 0;
+    this.sentAt = this.sentAt.filter(at => at >= asOf);
   }
 
   /** Takes in any answer: it is reachable. */
--- a/packages/gateway/src/backend_server/prober.ts
+++ b/packages/gateway/src/backend_server/prober.ts
@@ -40,7 +40,8 @@
     const path = service.terms?.healthPath;
     if (path === undefined) return;
     this.sent += 1;
-    server.ask(this.clock.now());
+    const askedAt = this.clock.now();
+    server.ask(askedAt);
     const suspicion = setTimeout(
       () => server.unanswered(this.clock.now()),
       SUSPECT_MS,
@@ -53,7 +54,7 @@
       case 'answered':
         server.answered();
         server.observeHealth(answer.well);
-        if (answer.load) server.observe(answer.load, now);
+        if (answer.load) server.observe(answer.load, askedAt, now);
         service.reportsLoad ??= answer.load !== undefined;
         return;
       case 'misplaced':
--- a/packages/gateway/src/request/request_run.ts
+++ b/packages/gateway/src/request/request_run.ts
@@ -36,6 +36,8 @@
 const SERVER_ERROR = 500;
 /** Usual times after which a missing answer speaks against its server. */
 const OVERDUE_TIMES = 5;
+/** Time for which a request may be on its way to a server, milliseconds. */
+const ON_THE_WAY_MS = 4;
 const NEVER = new AbortController().signal;
 
 /** What runs share. */
@@ -210,13 +212,13 @@
     switch (result.kind) {
       case 'answered':
         server.answered();
-        if (result.load) server.observe(result.load, now);
+        if (result.load) server.observe(result.load, now - ON_THE_WAY_MS, now);
         if (result.answer.status >= SERVER_ERROR) server.failed(now);
         else server.succeeded(now);
         return;
       case 'not_run':
         server.answered();
-        if (result.load) server.observe(result.load, now);
+        if (result.load) server.observe(result.load, now - ON_THE_WAY_MS, now);
         if (result.misplaced) server.foundMisplaced();
         else server.failed(now);
         return;
--- a/packages/gateway/src/request/waiting_room.ts
+++ b/packages/gateway/src/request/waiting_room.ts
@@ -61,7 +61,7 @@
       const now = this.clock.now();
       const good = this.service.goodFor(seeker, now);
       if (good) {
-        good.server.send();
+        good.server.send(now);
         return good;
       }
       const place = this.service.place(seeker, now);
@@ -103,7 +103,7 @@
       const place = this.service.place(ticket.seeker, now);
       switch (place.kind) {
         case 'send':
-          place.candidate.server.send();
+          place.candidate.server.send(now);
           ticket.resolve(place.candidate);
           return false;
         case 'ask':
