--- a/packages/balancer/src/backend_server/shared_server.ts
+++ b/packages/balancer/src/backend_server/shared_server.ts
@@ -44,6 +44,8 @@
 const REPORT_DECAY_MS = 250;
 /** Age up to which a report of requests in flight counts in full, milliseconds. */
 const LOAD_HOLDS_MS = 100;
+/** Age up to which a report tells the present slowness, milliseconds. */
+const SLOWNESS_HOLDS_MS = 30;
 /** Time in which a request that was just sent may be missing in a report, milliseconds. */
 const SENDS_KEPT_MS = 1_000;
 /** Slowness that is expected of a server without a recent report. */
@@ -133,6 +135,13 @@
     return Math.max(this.inFlight, (reported + this.sentAt.length) * weight);
   }
 
+  /** How slow it said to be, if that was lately; 1 is the usual. */
+  slownessNow(now: number): number | undefined {
+    return this.reportAge(now) <= SLOWNESS_HOLDS_MS
+      ? this.report?.slowness
+      : undefined;
+  }
+
   /** The slots that it reports, or else those of its entry. */
   get slots(): number {
     return Math.max(1, this.report?.slots ?? this.entry.slots);
--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -45,6 +45,6 @@
 export * from './route/route.js';
 export * from './route/route_table.js';
 export * from './route/split.js';
-export * from './service/hedge_delay.js';
+export * from './service/hedge.js';
 export * from './service/send_budget.js';
 export * from './service/shared_service.js';
--- a/packages/balancer/src/service/shared_service.ts
+++ b/packages/balancer/src/service/shared_service.ts
@@ -22,7 +22,9 @@
 /** Pause before a server is asked again, milliseconds. */
 const ASK_AGAIN_MS = 30;
 /** Part of a target by which an answer is expected to make it. */
-const TARGET_MARGIN = 0.92;
+const TARGET_MARGIN = 0.88;
+/** Load below which a server counts as idle. */
+const IDLE_LOAD = 1;
 /** Usual times within which a good server answers. */
 const GOOD_TIMES = 1.2;
 /** Usual time as a part of the target, while it is not known. */
@@ -138,11 +140,6 @@
     this.usualMs.set(route, usual);
   }
 
-  /** Usual time of a route's requests on an idle server; undefined at first. */
-  usual(route: string): number | undefined {
-    return this.usualMs.get(route);
-  }
-
   /** Chooses among servers none of which is good. */
   private settleFor(
     seeker: Seeker,
@@ -158,11 +155,12 @@
     );
     if (makesIt) return sendTo(makesIt);
     if (this.isReachable(seeker, now)) return WAIT;
-    // Late in any case: the slowest server that still answers in time leaves
-    // the better ones to requests that can make their targets.
+    // Late in any case: only idle servers, the slowest first. All else is left
+    // to requests that can make their targets, or an overload would end with
+    // every request late.
     const late = candidates.findLast(
       ({server, cost}) =>
-        server.loadAt(now) < server.slots && now + cost * usualMs <= endsAt,
+        server.loadAt(now) < IDLE_LOAD && now + cost * usualMs <= endsAt,
     );
     return late ? sendTo(late) : WAIT;
   }
@@ -195,7 +193,8 @@
     return this.reportsLoad === false || server.reportAge(now) <= CURRENT_MS;
   }
 
-  private expectedMs(route: Route): number {
+  /** Usual time of a route's requests on an idle server, milliseconds. */
+  expectedMs(route: Route): number {
     return this.usualMs.get(route.name) ?? route.targetMs * ASSUMED_USUAL;
   }
 
--- a/packages/gateway/src/instance/gateway.ts
+++ b/packages/gateway/src/instance/gateway.ts
@@ -73,6 +73,7 @@
     const desk = {
       deployment: this.deployment,
       rooms: new WaitingRooms(prober, clock),
+      prober,
       backends: this.backends,
       clock,
       log,
--- a/packages/gateway/src/request/request_run.ts
+++ b/packages/gateway/src/request/request_run.ts
@@ -1,9 +1,11 @@
 /** The way of one request: match, find a server, send, answer. */
 import {
+  adviseHedge,
   type Candidate,
   type Clock,
   type Deployment,
-  hedgeDelayMs,
+  type HedgeAdvice,
+  lookAgain,
   type Route,
   type Seeker,
   type SharedServer,
@@ -11,6 +13,7 @@
 } from '@ragworthall/balancer';
 import {setTimeout as delay} from 'node:timers/promises';
 import type {BackendDesk} from '../backend_server/backend_desk.js';
+import type {Prober} from '../backend_server/prober.js';
 import type {SendResult, ServerAnswer} from '../backend_server/send_result.js';
 import type {GatewayLog} from '../log/gateway_log.js';
 import {
@@ -44,6 +47,7 @@
 export interface RunDesk {
   readonly deployment: Deployment;
   readonly rooms: WaitingRooms;
+  readonly prober: Prober;
   readonly backends: BackendDesk;
   readonly clock: Clock;
   readonly log: GatewayLog;
@@ -65,6 +69,11 @@
   return new RequestRun(desk, request, route, service).run();
 }
 
+/** A second send; in an object, since an await would wait for its end. */
+interface SecondSend {
+  readonly end: Promise<RequestEnd | undefined>;
+}
+
 /** One request on its way to backend servers. */
 class RequestRun {
   private readonly tried = new Set<string>();
@@ -122,36 +131,71 @@
   }
 
   /**
-   * Sends it, and once more to a second server if the first one takes longer
-   * than it should; undefined if it may be sent again.
+   * Sends it, and once more to a second server if the first one turns slow or
+   * does not answer; undefined if it may be sent again.
    */
   private async attempt(found: Candidate): Promise<RequestEnd | undefined> {
     const first = this.send(found);
-    const waitMs = this.hedgeDelay();
-    if (waitMs === undefined) return first;
-    const late = new AbortController();
-    const timer = delay(waitMs, 'late' as const, {signal: late.signal}).catch(
-      () => undefined,
-    );
-    const early = await Promise.race([first, timer]);
-    late.abort();
-    if (early !== 'late') return early;
-    const second = await this.sendRival();
+    const {idempotent, maxAttempts} = this.route;
+    if (!idempotent || this.sends >= maxAttempts) return first;
+    const second = await this.watch(found.server, first);
     return second ? firstEnd([first, second.end]) : first;
   }
 
-  /** Time until a second server is tried; undefined if none may be. */
-  private hedgeDelay(): number | undefined {
-    const {route, service} = this;
-    if (!route.idempotent || this.sends >= route.maxAttempts) return undefined;
-    const elapsedMs = this.desk.clock.now() - this.request.arrivedAt;
-    return hedgeDelayMs(service.usual(route.name), route.targetMs, elapsedMs);
+  /** Watches a send; returns the second one if there had to be one. */
+  private async watch(
+    server: SharedServer,
+    first: Promise<RequestEnd | undefined>,
+  ): Promise<SecondSend | undefined> {
+    const {clock, prober} = this.desk;
+    const sentAt = clock.now();
+    const ended = first.then(() => 'ended' as const);
+    let advice = this.advise(server, sentAt);
+    while (advice.kind !== 'leave') {
+      switch (advice.kind) {
+        case 'look_in':
+          if ((await sooner(ended, advice.ms)) === 'ended') return undefined;
+          advice = this.advise(server, sentAt);
+          break;
+        case 'ask': {
+          const asked = prober.ask(this.service, server);
+          const answer = await Promise.race([ended, asked]);
+          if (answer === 'ended') return undefined;
+          advice = this.advise(server, sentAt);
+          if (advice.kind === 'ask') advice = lookAgain(this.usualMs);
+          break;
+        }
+        case 'hedge': {
+          const second = await this.sendRival();
+          if (second) return second;
+          advice = lookAgain(this.usualMs);
+          break;
+        }
+        default:
+          advice satisfies never;
+      }
+    }
+    return undefined;
+  }
+
+  private advise(server: SharedServer, sentAt: number): HedgeAdvice {
+    const now = this.desk.clock.now();
+    const pending = {
+      usualMs: this.usualMs,
+      targetMs: this.route.targetMs,
+      sinceArrivalMs: now - this.request.arrivedAt,
+      sinceSendMs: now - sentAt,
+      leftMs: this.endsAt - now,
+    };
+    return adviseHedge(pending, server.slownessNow(now));
+  }
+
+  private get usualMs(): number {
+    return this.service.expectedMs(this.route);
   }
 
   /** Sends it to a second server that is known to be good, if there is one. */
-  private async sendRival(): Promise<
-    {readonly end: Promise<RequestEnd | undefined>} | undefined
-  > {
+  private async sendRival(): Promise<SecondSend | undefined> {
     const {desk, request, service} = this;
     if (request.left.aborted) return undefined;
     if (service.budget.left(desk.clock.now()) < 1) return undefined;
@@ -163,12 +207,14 @@
       rival.server.ended();
       return undefined;
     }
-    // In an object: a promise would be waited for by whoever awaits this.
     return {end: this.send(rival)};
   }
 
   /** Sends it once; undefined if it may be sent again. */
-  private async send({server, cost}: Candidate): Promise<RequestEnd | undefined> {
+  private async send({
+    server,
+    cost,
+  }: Candidate): Promise<RequestEnd | undefined> {
     const {desk, request, route, service} = this;
     const startedAt = desk.clock.now();
     const timeLeftMs = this.endsAt - startedAt;
@@ -269,8 +315,7 @@
 
   /** Time after which a missing answer speaks against its server. */
   private overdueMs(): number {
-    const usual = this.service.usual(this.route.name);
-    return usual === undefined ? Infinity : usual * OVERDUE_TIMES;
+    return this.usualMs * OVERDUE_TIMES;
   }
 
   private giveUp(reason: Failure): RequestEnd {
@@ -279,6 +324,20 @@
   }
 }
 
+/** Resolves with what ends first: a promise, or a time as undefined. */
+async function sooner<T>(
+  pending: Promise<T>,
+  ms: number,
+): Promise<T | undefined> {
+  const over = new AbortController();
+  const timer = delay(ms, undefined, {signal: over.signal}).catch(
+    () => undefined,
+  );
+  const first = await Promise.race([pending, timer]);
+  over.abort();
+  return first;
+}
+
 /** Returns the first end; undefined when all have ended without one. */
 async function firstEnd(
   ends: readonly Promise<RequestEnd | undefined>[],
--- a/packages/gateway/src/request/waiting_room.ts
+++ b/packages/gateway/src/request/waiting_room.ts
@@ -119,7 +119,10 @@
     return [...toAsk];
   }
 
-  /** Those that can make their targets first, then by urgency and arrival. */
+  /**
+   * Those that can make their targets first, then the most urgent, then the
+   * newest: under overload the oldest have the least chance to make it.
+   */
   private inOrder(now: number): readonly Ticket[] {
     if (this.tickets.length < 2) return this.tickets;
     const keyed = this.tickets.map(ticket => ({
@@ -131,7 +134,7 @@
         (a, b) =>
           a.late - b.late ||
           a.ticket.seeker.route.urgency - b.ticket.seeker.route.urgency ||
-          a.ticket.seeker.arrivedAt - b.ticket.seeker.arrivedAt,
+          b.ticket.seeker.arrivedAt - a.ticket.seeker.arrivedAt,
       )
       .map(({ticket}) => ticket);
   }
