--- a/packages/gateway/src/backend_server/prober.ts
+++ b/packages/gateway/src/backend_server/prober.ts
@@ -1,5 +1,10 @@
 /** Asks backend servers for their load; requests that ask at the same time share an answer. */
-import type {Clock, SharedServer, SharedService} from '@ragworthall/balancer';
+import {
+  type Clock,
+  NEVER_ABORTED,
+  type SharedServer,
+  type SharedService,
+} from '@ragworthall/balancer';
 import type {GatewayLog} from '../log/gateway_log.js';
 import type {BackendDesk} from './backend_desk.js';
 
@@ -7,7 +12,6 @@
 const SUSPECT_MS = 200;
 /** Time after which a probe is given up with its connection, milliseconds. */
 const PROBE_MS = 1_200;
-const NEVER = new AbortController().signal;
 
 /** Probes of all backend servers. */
 export class Prober {
@@ -46,7 +50,7 @@
       () => server.unanswered(this.clock.now()),
       SUSPECT_MS,
     );
-    const answer = await this.desk.probe(server, path, PROBE_MS, NEVER);
+    const answer = await this.desk.probe(server, path, PROBE_MS, NEVER_ABORTED);
     clearTimeout(suspicion);
     server.askEnded();
     const now = this.clock.now();
--- a/packages/gateway/src/caller/front_connection.ts
+++ b/packages/gateway/src/caller/front_connection.ts
@@ -1,4 +1,5 @@
 /** One connection of a caller: its requests in flight, answered in their order. */
+import {setMaxListeners} from 'node:events';
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
@@ -13,6 +14,8 @@
     private readonly socket: Socket,
     private readonly isClosing: () => boolean,
   ) {
+    // One listener for each request in flight.
+    setMaxListeners(0, this.gone.signal);
     socket.once('close', () => this.gone.abort());
   }
 
--- a/packages/gateway/src/instance/gateway.ts
+++ b/packages/gateway/src/instance/gateway.ts
@@ -27,6 +27,13 @@
 const KEEP_OVERRUN = 3;
 /** Part of the grace period after which what is left is cut. */
 const GRACE_PART = 0.97;
+/**
+ * Longest wait for news of the configuration, milliseconds. It bounds how long a
+ * connection to the store may be silent before that is noticed.
+ */
+const CONFIGURATION_WAIT_MS = 2_000;
+/** The same for the registry; health checks tell of leaving servers too. */
+const REGISTRY_WAIT_MS = 5_000;
 /** Pause between two looks at what is in flight, milliseconds. */
 const DRAIN_LOOK_MS = 20;
 
@@ -148,13 +155,21 @@
       bounds => this.callers.bound(bounds),
     );
     const followers = [
-      new TableFollower('registry', registry, this.registrySink, clock, log),
+      new TableFollower(
+        'registry',
+        registry,
+        this.registrySink,
+        clock,
+        log,
+        REGISTRY_WAIT_MS,
+      ),
       new TableFollower(
         'configuration',
         configurations,
         configurationSink,
         clock,
         log,
+        CONFIGURATION_WAIT_MS,
       ),
     ];
     this.running = Promise.all(followers.map(f => f.run(this.tasks.signal)));
--- a/packages/gateway/src/platform/table_follower.ts
+++ b/packages/gateway/src/platform/table_follower.ts
@@ -4,8 +4,6 @@
 import type {GatewayLog} from '../log/gateway_log.js';
 import type {RowNews, RowSource, Snapshot, StoreError} from './row_source.js';
 
-/** Longest time for which the store holds a question without news, milliseconds. */
-const WAIT_MS = 2_000;
 /** First pause after a failed call, milliseconds; it doubles. */
 const FIRST_PAUSE_MS = 150;
 /** Longest such pause, milliseconds. */
@@ -33,6 +31,8 @@
     private readonly sink: RowSink<T>,
     private readonly clock: Clock,
     private readonly log: GatewayLog,
+    /** Longest time for which the store holds a question without news, milliseconds. */
+    private readonly waitMs: number,
   ) {}
 
   /** Runs until the signal comes. */
@@ -58,7 +58,7 @@
   private async follow(from: number, signal: AbortSignal): Promise<void> {
     let version = from;
     while (!signal.aborted) {
-      const read = await this.source.changes(version, WAIT_MS, signal);
+      const read = await this.source.changes(version, this.waitMs, signal);
       if (read.isErr()) {
         await this.failed(read.error, signal);
         continue;
@@ -91,7 +91,8 @@
   private async failed(err: StoreError, signal: AbortSignal): Promise<void> {
     if (signal.aborted) return;
     if (this.failures === 0) {
-      this.log.dependency('store_lost', {table: this.table, ...err});
+      const {kind: cause, detail} = err;
+      this.log.dependency('store_lost', {table: this.table, cause, detail});
     }
     const pauseMs = FIRST_PAUSE_MS * 2 ** Math.min(this.failures, 8);
     this.failures += 1;
--- a/packages/gateway/src/request/request_run.ts
+++ b/packages/gateway/src/request/request_run.ts
@@ -6,6 +6,7 @@
   type Deployment,
   type HedgeAdvice,
   lookAgain,
+  NEVER_ABORTED,
   type Route,
   type Seeker,
   type SharedServer,
@@ -41,7 +42,6 @@
 const OVERDUE_TIMES = 5;
 /** Time for which a request may be on its way to a server, milliseconds. */
 const ON_THE_WAY_MS = 4;
-const NEVER = new AbortController().signal;
 
 /** What runs share. */
 export interface RunDesk {
@@ -236,7 +236,7 @@
       giveUpMs: timeLeftMs + ANSWER_MARGIN_MS,
       maxIdleMs: route.idempotent ? REPEATABLE_IDLE_MS : UNREPEATABLE_IDLE_MS,
       // What must not repeat runs to its end: its outcome matters to someone.
-      signal: route.idempotent ? request.left : NEVER,
+      signal: route.idempotent ? request.left : NEVER_ABORTED,
     });
     server.ended();
     this.room.changed();
