--- a/packages/balancer/src/instance/deployment.ts
+++ b/packages/balancer/src/instance/deployment.ts
@@ -55,6 +55,11 @@
     return [...this.servers.keys()];
   }
 
+  /** Number of backend servers that take work. */
+  get serversTakingWork(): number {
+    return [...this.servers.values()].filter(s => s.takesWork).length;
+  }
+
   /** One of the backend servers. */
   server(id: string): SharedServer | undefined {
     return this.servers.get(id);
--- a/packages/gateway/src/caller/front_connection.ts
+++ b/packages/gateway/src/caller/front_connection.ts
@@ -24,6 +24,11 @@
     return this.gone.signal;
   }
 
+  /** Requests that wait for their answers. */
+  get inFlight(): number {
+    return this.open.size;
+  }
+
   /** Whether requests wait for their answers. */
   get isBusy(): boolean {
     return this.open.size > 0;
--- a/packages/gateway/src/caller/front_server.ts
+++ b/packages/gateway/src/caller/front_server.ts
@@ -61,8 +61,11 @@
   }
 
   /** Requests whose answers have not been written. */
-  get isBusy(): boolean {
-    return [...this.connections.values()].some(c => c.isBusy);
+  get inFlight(): number {
+    return [...this.connections.values()].reduce(
+      (sum, connection) => sum + connection.inFlight,
+      0,
+    );
   }
 
   /** Starts to listen; rejects if the address is taken. */
--- a/packages/gateway/src/instance/gateway.ts
+++ b/packages/gateway/src/instance/gateway.ts
@@ -12,10 +12,10 @@
 import {Prober} from '../backend_server/prober.js';
 import {FrontServer} from '../caller/front_server.js';
 import type {GatewayLog} from '../log/gateway_log.js';
+import type {GatewayMetrics} from '../metrics/gateway_metrics.js';
 import type {RowSource} from '../platform/row_source.js';
 import {TableFollower} from '../platform/table_follower.js';
 import type {WireNames} from '../platform/wire_names.js';
-import type {CallerRequest, RequestEnd} from '../request/caller_request.js';
 import {runRequest} from '../request/request_run.js';
 import {WaitingRooms} from '../request/waiting_room.js';
 import {ConfigurationSink} from './configuration_sink.js';
@@ -51,6 +51,7 @@
   readonly configurations: RowSource<RoutingConfiguration>;
   readonly clock: Clock;
   readonly log: GatewayLog;
+  readonly metrics: GatewayMetrics;
 }
 
 /** What a caller is told who asks where to connect. */
@@ -72,7 +73,7 @@
   private stopping = false;
 
   private constructor(private readonly parts: GatewayParts) {
-    const {clock, log, wire, failureDomain, budget, instance} = parts;
+    const {clock, log, metrics, wire, failureDomain, budget, instance} = parts;
     const random = new SeededRandom(seedOf(instance));
     this.deployment = new Deployment({failureDomain, budget, random});
     this.backends = new BackendDesk(wire);
@@ -84,12 +85,20 @@
       backends: this.backends,
       clock,
       log,
+      metrics,
     };
     this.callers = new FrontServer(
-      request => this.handle(request, runRequest(desk, request)),
+      request => runRequest(desk, request),
       wire,
       clock,
     );
+    metrics.watch({
+      configurationVersion: () =>
+        this.deployment.routes?.configuration.version ?? 0,
+      servers: () => this.deployment.serversTakingWork,
+      probes: () => prober.sent,
+      inFlight: () => this.callers.inFlight,
+    });
     this.registrySink = new RegistrySink(
       this.deployment,
       this.backends,
@@ -131,10 +140,10 @@
     log.life('stopping', {graceMs});
     await delay(KEEP_ADDRESS_MS * KEEP_OVERRUN);
     this.callers.stopListening();
-    while (this.callers.isBusy && clock.now() < until) {
+    while (this.callers.inFlight > 0 && clock.now() < until) {
       await delay(DRAIN_LOOK_MS);
     }
-    const drained = !this.callers.isBusy;
+    const drained = this.callers.inFlight === 0;
     log.life('stopped', {drained});
     return drained;
   }
@@ -148,7 +157,7 @@
   }
 
   private followTables(): void {
-    const {registry, configurations, clock, log} = this.parts;
+    const {registry, configurations, clock, log, metrics} = this.parts;
     const configurationSink = new ConfigurationSink(
       this.deployment,
       log,
@@ -161,6 +170,7 @@
         this.registrySink,
         clock,
         log,
+        metrics,
         REGISTRY_WAIT_MS,
       ),
       new TableFollower(
@@ -169,25 +179,12 @@
         configurationSink,
         clock,
         log,
+        metrics,
         CONFIGURATION_WAIT_MS,
       ),
     ];
     this.running = Promise.all(followers.map(f => f.run(this.tasks.signal)));
   }
-
-  private async handle(
-    request: CallerRequest,
-    run: Promise<RequestEnd>,
-  ): Promise<RequestEnd> {
-    const end = await run;
-    this.parts.log.request('ended', request.id, {
-      end: end.kind,
-      ...('reason' in end ? {reason: end.reason} : {}),
-      ...(end.kind === 'answered' ? {status: end.answer.status} : {}),
-      ms: Math.round(this.parts.clock.now() - request.arrivedAt),
-    });
-    return end;
-  }
 }
 
 /** Returns a seed that differs between instances. */
--- /dev/null
+++ b/packages/gateway/src/metrics/gateway_metrics.ts
@@ -0,0 +1,108 @@
+/** Counters and histograms of one entry instance, in the text format of Prometheus. */
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+
+/** Upper bounds of the latency histograms, seconds. */
+const LATENCY_BUCKETS_S = [
+  0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4,
+];
+const MS_PER_S = 1_000;
+
+/** What is read when the metrics are asked for. */
+export interface MetricSources {
+  /** Version of the configuration in force; 0 if none is known. */
+  configurationVersion(): number;
+  /** Known backend servers that take work. */
+  servers(): number;
+  /** Probes sent since the start. */
+  probes(): number;
+  /** Requests in flight. */
+  inFlight(): number;
+}
+
+/** The metrics of one instance. */
+export class GatewayMetrics {
+  private readonly registry = new Registry();
+  private readonly requests = new Counter({
+    name: 'ragworthall_requests_total',
+    help: 'Requests of callers, by route, end and reason',
+    labelNames: ['route', 'end', 'reason'],
+    registers: [this.registry],
+  });
+  private readonly requestSeconds = new Histogram({
+    name: 'ragworthall_request_seconds',
+    help: 'Time from the arrival of a request to its answer',
+    labelNames: ['end'],
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.registry],
+  });
+  private readonly sends = new Counter({
+    name: 'ragworthall_sends_total',
+    help: 'Requests sent to backend servers, by service and result',
+    labelNames: ['service', 'result'],
+    registers: [this.registry],
+  });
+  private readonly sendSeconds = new Histogram({
+    name: 'ragworthall_send_seconds',
+    help: 'Time from a send to its result',
+    labelNames: ['result'],
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.registry],
+  });
+  private readonly storeCalls = new Counter({
+    name: 'ragworthall_store_calls_total',
+    help: 'Calls to the platform’s store, by table and result',
+    labelNames: ['table', 'result'],
+    registers: [this.registry],
+  });
+
+  /** Adds the gauges; they are read only when the metrics are asked for. */
+  watch(sources: MetricSources): void {
+    this.gauge(
+      'ragworthall_configuration_version',
+      'Version of the configuration in force',
+      () => sources.configurationVersion(),
+    );
+    this.gauge('ragworthall_servers', 'Backend servers that take work', () =>
+      sources.servers(),
+    );
+    this.gauge('ragworthall_probes', 'Probes sent since the start', () =>
+      sources.probes(),
+    );
+    this.gauge('ragworthall_requests_in_flight', 'Requests in flight', () =>
+      sources.inFlight(),
+    );
+  }
+
+  /** Counts the end of a request. */
+  requestEnded(route: string, end: string, reason: string, ms: number): void {
+    this.requests.inc({route, end, reason});
+    this.requestSeconds.observe({end}, ms / MS_PER_S);
+  }
+
+  /** Counts the result of a send. */
+  sendEnded(service: string, result: string, ms: number): void {
+    this.sends.inc({service, result});
+    this.sendSeconds.observe({result}, ms / MS_PER_S);
+  }
+
+  /** Counts a call to the store. */
+  storeCalled(table: string, result: string): void {
+    this.storeCalls.inc({table, result});
+  }
+
+  /** All metrics as text. */
+  text(): Promise<string> {
+    return this.registry.metrics();
+  }
+
+  private gauge(name: string, help: string, read: () => number): void {
+    new Gauge({
+      name,
+      help,
+      registers: [this.registry],
+      collect() {
+        this.set(read());
+      },
+    });
+  }
+}
--- a/packages/gateway/src/platform/table_follower.ts
+++ b/packages/gateway/src/platform/table_follower.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '@ragworthall/balancer';
 import {setTimeout as delay} from 'node:timers/promises';
 import type {GatewayLog} from '../log/gateway_log.js';
+import type {GatewayMetrics} from '../metrics/gateway_metrics.js';
 import type {RowNews, RowSource, Snapshot, StoreError} from './row_source.js';
 
 /** First pause after a failed call, milliseconds; it doubles. */
@@ -31,6 +32,7 @@
     private readonly sink: RowSink<T>,
     private readonly clock: Clock,
     private readonly log: GatewayLog,
+    private readonly metrics: GatewayMetrics,
     /** Longest time for which the store holds a question without news, milliseconds. */
     private readonly waitMs: number,
   ) {}
@@ -82,6 +84,7 @@
   }
 
   private answered(): void {
+    this.metrics.storeCalled(this.table, 'answered');
     if (this.failures === 0) return;
     this.failures = 0;
     this.log.dependency('store_regained', {table: this.table});
@@ -90,6 +93,7 @@
 
   private async failed(err: StoreError, signal: AbortSignal): Promise<void> {
     if (signal.aborted) return;
+    this.metrics.storeCalled(this.table, err.kind);
     if (this.failures === 0) {
       const {kind: cause, detail} = err;
       this.log.dependency('store_lost', {table: this.table, cause, detail});
--- a/packages/gateway/src/request/request_run.ts
+++ b/packages/gateway/src/request/request_run.ts
@@ -6,6 +6,7 @@
   type Deployment,
   type HedgeAdvice,
   lookAgain,
+  type MatchedRoute,
   NEVER_ABORTED,
   type Route,
   type Seeker,
@@ -17,6 +18,7 @@
 import type {Prober} from '../backend_server/prober.js';
 import type {SendResult, ServerAnswer} from '../backend_server/send_result.js';
 import type {GatewayLog} from '../log/gateway_log.js';
+import type {GatewayMetrics} from '../metrics/gateway_metrics.js';
 import {
   type CallerRequest,
   Failure,
@@ -51,6 +53,7 @@
   readonly backends: BackendDesk;
   readonly clock: Clock;
   readonly log: GatewayLog;
+  readonly metrics: GatewayMetrics;
 }
 
 /** Runs one request to its end. */
@@ -58,17 +61,51 @@
   desk: RunDesk,
   request: CallerRequest,
 ): Promise<RequestEnd> {
-  const {deployment, clock} = desk;
+  const {deployment} = desk;
   const {routes} = deployment;
-  if (!routes || !deployment.isKnown) return refused(Failure.Starting);
-  const matched = routes.match(request.host, request.target);
+  const matched = routes?.match(request.host, request.target);
+  const end = deployment.isKnown
+    ? await runMatched(desk, request, matched)
+    : refused(Failure.Starting);
+  report(desk, request, matched, end);
+  return end;
+}
+
+async function runMatched(
+  desk: RunDesk,
+  request: CallerRequest,
+  matched: MatchedRoute | undefined,
+): Promise<RequestEnd> {
   if (!matched) return {kind: 'no_route'};
   const {route, split} = matched;
-  const service = deployment.service(split.next());
-  service.budget.requested(clock.now());
+  const service = desk.deployment.service(split.next());
+  service.budget.requested(desk.clock.now());
   return new RequestRun(desk, request, route, service).run();
 }
 
+/** Logs and counts the end of a request. */
+function report(
+  desk: RunDesk,
+  request: CallerRequest,
+  matched: MatchedRoute | undefined,
+  end: RequestEnd,
+): void {
+  const {clock, log, metrics, deployment} = desk;
+  const ms = clock.now() - request.arrivedAt;
+  const route = matched?.route.name ?? 'none';
+  const reason = 'reason' in end ? end.reason : '';
+  const status = end.kind === 'answered' ? end.answer.status : undefined;
+  log.request('ended', request.id, {
+    end: end.kind,
+    reason,
+    status,
+    route,
+    configuration: deployment.routes?.configuration.version,
+    ms: Math.round(ms),
+  });
+  metrics.requestEnded(route, end.kind, reason || String(status ?? ''), ms);
+}
+
 /** A second send; in an object, since an await would wait for its end. */
 interface SecondSend {
   readonly end: Promise<RequestEnd | undefined>;
@@ -241,6 +278,7 @@
     server.ended();
     this.room.changed();
     const now = desk.clock.now();
+    desk.metrics.sendEnded(service.name, result.kind, now - startedAt);
     this.learn(server, result, now, now - startedAt);
     if (result.kind === 'answered') {
       service.took(route.name, now - startedAt, cost);
