--- a/packages/gateway/src/instance/gateway.ts
+++ b/packages/gateway/src/instance/gateway.ts
@@ -14,7 +14,7 @@
 import type {GatewayLog} from '../log/gateway_log.js';
 import type {GatewayMetrics} from '../metrics/gateway_metrics.js';
 import type {RowSource} from '../platform/row_source.js';
-import {TableFollower} from '../platform/table_follower.js';
+import {type FollowPace, TableFollower} from '../platform/table_follower.js';
 import type {WireNames} from '../platform/wire_names.js';
 import {runRequest} from '../request/request_run.js';
 import {WaitingRooms} from '../request/waiting_room.js';
@@ -28,12 +28,15 @@
 /** Part of the grace period after which what is left is cut. */
 const GRACE_PART = 0.97;
 /**
- * Longest wait for news of the configuration, milliseconds. It bounds how long a
- * connection to the store may be silent before that is noticed.
+ * The wait bounds how long a connection to the store may be silent before that
+ * is noticed; configurations have to be in force within two seconds.
  */
-const CONFIGURATION_WAIT_MS = 2_000;
-/** The same for the registry; health checks tell of leaving servers too. */
-const REGISTRY_WAIT_MS = 5_000;
+const CONFIGURATION_PACE: FollowPace = {waitMs: 2_000, gatherMs: 100};
+/**
+ * Health checks tell of leaving servers too, so the wait may be longer. Entries
+ * of many servers change all the time: they are read together.
+ */
+const REGISTRY_PACE: FollowPace = {waitMs: 5_000, gatherMs: 700};
 /** Pause between two looks at what is in flight, milliseconds. */
 const DRAIN_LOOK_MS = 20;
 
@@ -171,7 +174,7 @@
         clock,
         log,
         metrics,
-        REGISTRY_WAIT_MS,
+        REGISTRY_PACE,
       ),
       new TableFollower(
         'configuration',
@@ -180,7 +183,7 @@
         clock,
         log,
         metrics,
-        CONFIGURATION_WAIT_MS,
+        CONFIGURATION_PACE,
       ),
     ];
     this.running = Promise.all(followers.map(f => f.run(this.tasks.signal)));
--- a/packages/gateway/src/platform/table_follower.ts
+++ b/packages/gateway/src/platform/table_follower.ts
@@ -9,8 +9,14 @@
 const FIRST_PAUSE_MS = 150;
 /** Longest such pause, milliseconds. */
 const MAX_PAUSE_MS = 800;
-/** Pause after news, so that changes that come together are read together. */
-const GATHER_MS = 100;
+
+/** How a table is followed. */
+export interface FollowPace {
+  /** Longest time for which the store holds a question without news, milliseconds. */
+  readonly waitMs: number;
+  /** Pause after news, so that later changes are read together, milliseconds. */
+  readonly gatherMs: number;
+}
 
 /** Who takes in the rows. */
 export interface RowSink<T> {
@@ -33,8 +39,7 @@
     private readonly clock: Clock,
     private readonly log: GatewayLog,
     private readonly metrics: GatewayMetrics,
-    /** Longest time for which the store holds a question without news, milliseconds. */
-    private readonly waitMs: number,
+    private readonly pace: FollowPace,
   ) {}
 
   /** Runs until the signal comes. */
@@ -60,7 +65,7 @@
   private async follow(from: number, signal: AbortSignal): Promise<void> {
     let version = from;
     while (!signal.aborted) {
-      const read = await this.source.changes(version, this.waitMs, signal);
+      const read = await this.source.changes(version, this.pace.waitMs, signal);
       if (read.isErr()) {
         await this.failed(read.error, signal);
         continue;
@@ -75,7 +80,7 @@
           version = changes.version;
           if (changes.rows.length === 0) break;
           this.sink.change(changes.rows, this.clock.now());
-          await pause(GATHER_MS, signal);
+          await pause(this.pace.gatherMs, signal);
           break;
         default:
           changes satisfies never;
