Count repeated sends until their window has passed

Cause: ten buckets of a second cover nine to ten seconds, so that sends of the oldest second could be made again while they were still in the window.

--- /dev/null
+++ b/packages/balancer/src/route/route_table.test.ts
@@ -0,0 +1,98 @@
+/** Matching of routes, and the division of their requests. */
+import test from 'ava';
+import fc from 'fast-check';
+import type {Route, RoutingConfiguration} from './route.js';
+import {hostOf, RouteTable} from './route_table.js';
+import {Split} from './split.js';
+
+function routeOf(prefix: string, host = 'a.example'): Route {
+  return {
+    name: prefix,
+    host,
+    prefix,
+    idempotent: true,
+    timeoutMs: 1_000,
+    targetMs: 500,
+    urgency: 0,
+    maxAttempts: 2,
+    parts: [{service: 's', weight: 1}],
+  };
+}
+
+function tableOf(routes: readonly Route[], before?: RouteTable): RouteTable {
+  const bounds = {headerBytes: 1, bodyBytes: 1, headersMs: 1, idleMs: 1};
+  const cfg: RoutingConfiguration = {version: 1, routes, services: [], bounds};
+  return new RouteTable(cfg, before);
+}
+
+const segment = fc.constantFrom('a', 'b', 'ab', 'c');
+const prefix = fc
+  .array(segment, {maxLength: 4})
+  .map(parts => ['', ...parts, ''].join('/'));
+
+test('the longest prefix that begins the path wins', t => {
+  fc.assert(
+    fc.property(
+      fc.uniqueArray(prefix, {maxLength: 8}),
+      prefix,
+      segment,
+      (prefixes, start, rest) => {
+        const path = `${start}${rest}`;
+        const expected = prefixes
+          .filter(candidate => path.startsWith(candidate))
+          .sort((a, b) => b.length - a.length)[0];
+        const found = tableOf(prefixes.map(p => routeOf(p))).match(
+          'a.example',
+          `${path}?q=/x/y/`,
+        );
+        return found?.route.prefix === expected;
+      },
+    ),
+  );
+  t.pass();
+});
+
+test('hosts are told apart without regard to case and port', t => {
+  const table = tableOf([routeOf('/a/'), routeOf('/a/', 'b.example')]);
+  t.is(table.match('B.Example:8080', '/a/x')?.route.host, 'b.example');
+  t.is(table.match('c.example', '/a/x'), undefined);
+  t.is(hostOf('A:80'), 'a');
+});
+
+test('a split keeps its weights in every run of requests', t => {
+  fc.assert(
+    fc.property(
+      fc.array(fc.integer({min: 1, max: 50}), {minLength: 1, maxLength: 5}),
+      fc.integer({min: 1, max: 400}),
+      (weights, requests) => {
+        const parts = weights.map((weight, i) => ({service: `s${i}`, weight}));
+        const split = new Split(parts);
+        const total = weights.reduce((sum, weight) => sum + weight, 0);
+        const counts = new Map<string, number>();
+        for (let i = 0; i < requests; i++) {
+          const service = split.next();
+          counts.set(service, (counts.get(service) ?? 0) + 1);
+        }
+        return parts.every(({service, weight}) => {
+          const share = (requests * weight) / total;
+          return Math.abs((counts.get(service) ?? 0) - share) <= parts.length;
+        });
+      },
+    ),
+  );
+  t.pass();
+});
+
+test('a split goes on over a configuration that leaves it unchanged', t => {
+  const route: Route = {
+    ...routeOf('/a/'),
+    parts: [
+      {service: 's', weight: 1},
+      {service: 't', weight: 1},
+    ],
+  };
+  const before = tableOf([route]);
+  const first = before.match('a.example', '/a/')!.split.next();
+  const after = tableOf([route], before);
+  t.not(after.match('a.example', '/a/')!.split.next(), first);
+});
--- a/packages/balancer/src/service/send_budget.ts
+++ b/packages/balancer/src/service/send_budget.ts
@@ -6,6 +6,11 @@
 
 /** Buckets that a window is divided into. */
 const BUCKETS = 10;
+/**
+ * Buckets of repeated sends: one more, so that those at the edge of a window
+ * count until the window has passed.
+ */
+const REPEAT_BUCKETS = BUCKETS + 1;
 
 /** What bounds repeated sends to a service. */
 export interface SendBudgetTerms {
@@ -20,7 +25,7 @@
 /** The repeated sends of one service by this instance. */
 export class SendBudget {
   private readonly requests = new Array<number>(BUCKETS).fill(0);
-  private readonly repeats = new Array<number>(BUCKETS).fill(0);
+  private readonly repeats = new Array<number>(REPEAT_BUCKETS).fill(0);
   private bucket = 0;
 
   constructor(private readonly terms: SendBudgetTerms) {}
@@ -34,7 +39,7 @@
   /** Takes one repeated send; false if the budget does not allow it. */
   trySpend(now: number): boolean {
     if (this.left(now) < 1) return false;
-    this.repeats[this.bucket % BUCKETS]! += 1;
+    this.repeats[this.bucket % REPEAT_BUCKETS]! += 1;
     return true;
   }
 
@@ -47,11 +52,11 @@
 
   private turn(now: number): void {
     const current = Math.floor(now / (this.terms.windowMs / BUCKETS));
-    const turned = Math.min(BUCKETS, current - this.bucket);
+    const turned = Math.min(REPEAT_BUCKETS, current - this.bucket);
     this.bucket = Math.max(current, this.bucket);
     for (let i = 0; i < turned; i++) {
       this.requests[(this.bucket - i) % BUCKETS] = 0;
-      this.repeats[(this.bucket - i) % BUCKETS] = 0;
+      this.repeats[(this.bucket - i) % REPEAT_BUCKETS] = 0;
     }
   }
 }
--- /dev/null
+++ b/packages/balancer/src/service/shared_service.test.ts
@@ -0,0 +1,211 @@
+/** Choices among backend servers that other instances send to as well. */
+import test from 'ava';
+import fc from 'fast-check';
+import {
+  EntryState,
+  type ServerEntry,
+  SharedServer,
+} from '../backend_server/shared_server.js';
+import {SeededRandom} from '../link/random.js';
+import type {Route} from '../route/route.js';
+import {SendBudget} from './send_budget.js';
+import {isNewer, type Seeker, SharedService} from './shared_service.js';
+
+const START = 10_000;
+const USUAL_MS = 100;
+const ROUTE: Route = {
+  name: 'r',
+  host: 'a.example',
+  prefix: '/',
+  idempotent: true,
+  timeoutMs: 1_000,
+  targetMs: 300,
+  urgency: 0,
+  maxAttempts: 2,
+  parts: [{service: 's', weight: 1}],
+};
+
+function entryOf(id: string, changes: Partial<ServerEntry> = {}): ServerEntry {
+  return {
+    id,
+    service: 's',
+    address: '10.0.0.1:80',
+    failureDomain: 'a',
+    slots: 2,
+    state: EntryState.Ready,
+    warmUpMs: 0,
+    startedAt: 1,
+    sequence: 1,
+    ...changes,
+  };
+}
+
+function serviceOf(ids: readonly string[]): {
+  service: SharedService;
+  servers: readonly SharedServer[];
+} {
+  const budget = {ratio: 0.2, extra: 1, windowMs: 10_000};
+  const service = new SharedService(
+    's',
+    'a',
+    new SeededRandom(1),
+    budget,
+    undefined,
+  );
+  service.reportsLoad = true;
+  service.took(ROUTE.name, USUAL_MS, 1);
+  const servers = ids.map(id => new SharedServer(entryOf(id), START));
+  servers.forEach(server => service.put(server));
+  return {service, servers};
+}
+
+function seeker(arrivedAt = START): Seeker {
+  return {route: ROUTE, arrivedAt, endsAt: arrivedAt + 1_000, tried: new Set()};
+}
+
+function report(
+  server: SharedServer,
+  running: number,
+  slowness: number,
+  at = START,
+): void {
+  server.observe({running, waiting: 0, slots: 2, slowness}, at, at);
+}
+
+test('servers without a young report are asked first', t => {
+  const {service} = serviceOf(['x', 'y']);
+  t.is(service.place(seeker(), START).kind, 'ask');
+});
+
+test('an idle server of usual speed is taken at once', t => {
+  const {service, servers} = serviceOf(['x', 'y']);
+  report(servers[1]!, 0, 1);
+  const place = service.place(seeker(), START);
+  t.is(place.kind === 'send' && place.candidate.server, servers[1]!);
+});
+
+test('a request that can still make its target waits rather than take a slow server', t => {
+  const {service, servers} = serviceOf(['x', 'y']);
+  servers.forEach(server => report(server, 0, 4));
+  t.is(service.place(seeker(), START).kind, 'wait');
+});
+
+test('a late request takes an idle slow server, and no busy one', t => {
+  const {service, servers} = serviceOf(['x', 'y']);
+  report(servers[0]!, 0, 4);
+  report(servers[1]!, 1, 1);
+  const late = seeker(START - 250);
+  const place = service.place(late, START);
+  t.is(place.kind === 'send' && place.candidate.server, servers[0]!);
+  servers[0]!.send(START);
+  t.is(service.place(late, START).kind, 'wait');
+});
+
+test('no request is placed on a server that is known to be full', t => {
+  fc.assert(
+    fc.property(
+      fc.array(fc.tuple(fc.integer({min: 0, max: 4}), fc.boolean()), {
+        minLength: 1,
+        maxLength: 6,
+      }),
+      fc.integer({min: 0, max: 900}),
+      (loads, waited) => {
+        const {service, servers} = serviceOf(loads.map((_, i) => `s${i}`));
+        loads.forEach(([running, slow], i) =>
+          report(servers[i]!, running, slow ? 4 : 1),
+        );
+        const place = service.place(seeker(START - waited), START);
+        return (
+          place.kind !== 'send' || place.candidate.server.loadAt(START) < 2
+        );
+      },
+    ),
+  );
+  t.pass();
+});
+
+test('a report does not take back sends that it cannot know', t => {
+  const {servers} = serviceOf(['x']);
+  const [server] = servers;
+  server!.send(START + 2);
+  server!.ended();
+  // Asked before the send, answered after it.
+  server!.observe(
+    {running: 0, waiting: 0, slots: 2, slowness: 1},
+    START,
+    START + 3,
+  );
+  t.is(server!.loadAt(START + 3), 1);
+});
+
+test('a full server is asked again as its report grows old', t => {
+  const {service, servers} = serviceOf(['x']);
+  report(servers[0]!, 2, 1);
+  t.is(service.place(seeker(), START + 50).kind, 'wait');
+  t.is(service.place(seeker(), START + 200).kind, 'ask');
+});
+
+test('servers that leave or sit at another address get nothing', t => {
+  const {service, servers} = serviceOf(['x', 'y']);
+  servers.forEach(server => report(server, 0, 1));
+  servers[0]!.update(entryOf('x', {state: EntryState.Leaving}), START);
+  servers[1]!.foundMisplaced();
+  t.is(service.place(seeker(), START).kind, 'wait');
+});
+
+test('failures and missing answers put a server behind the others', t => {
+  const {service, servers} = serviceOf(['x', 'y', 'z']);
+  servers.forEach(server => report(server, 0, 1));
+  servers[0]!.failed(START);
+  servers[1]!.unanswered(START);
+  const order = service.candidates(new Set(), START).map(c => c.server);
+  t.deepEqual(order, [servers[2], servers[0], servers[1]]);
+});
+
+test('an entry is news only if it is younger, also after a new start', t => {
+  const known = entryOf('x', {startedAt: 5, sequence: 9});
+  t.true(isNewer(entryOf('x', {startedAt: 5, sequence: 10}), known));
+  t.false(isNewer(entryOf('x', {startedAt: 5, sequence: 8}), known));
+  t.true(isNewer(entryOf('x', {startedAt: 6, sequence: 1}), known));
+  t.false(isNewer(entryOf('x', {startedAt: 4, sequence: 99}), known));
+});
+
+test('repeated sends stay within their share in every window', t => {
+  fc.assert(
+    fc.property(
+      fc.array(fc.tuple(fc.integer({min: 0, max: 400}), fc.boolean()), {
+        maxLength: 300,
+      }),
+      steps => {
+        const terms = {ratio: 0.2, extra: 3, windowMs: 10_000};
+        const budget = new SendBudget(terms);
+        let now = START;
+        const requests: number[] = [];
+        const repeats: number[] = [];
+        steps.forEach(([gap, repeat]) => {
+          now += gap;
+          if (!repeat) {
+            budget.requested(now);
+            requests.push(now);
+          } else if (budget.trySpend(now)) repeats.push(now);
+        });
+        return repeats.every(end => {
+          const inWindow = (at: number) => at <= end && at > end - 10_000;
+          const spent = repeats.filter(inWindow).length;
+          const asked = requests.filter(inWindow);
+          return spent <= 0.2 * asked.length + 3;
+        });
+      },
+    ),
+  );
+  t.pass();
+});
+
+test('sends at the edge of a window count until the window has passed', t => {
+  const budget = new SendBudget({ratio: 0, extra: 3, windowMs: 10_000});
+  const spend = (now: number) =>
+    [1, 2, 3, 4].filter(() => budget.trySpend(now)).length;
+  t.is(spend(START + 900), 3);
+  t.is(spend(START + 10_100), 0);
+  t.is(spend(START + 12_000), 3);
+});
