Tell a server's expected time from what speaks against it; log failed sends

Cause: a server with a remembered failure counted as 2.5 times as slow, so that a request with a short deadline was never offered to it and held to its end. Each send without an answer now has a line with its result and detail.

--- a/packages/balancer/src/backend_server/shared_server.ts
+++ b/packages/balancer/src/backend_server/shared_server.ts
@@ -151,7 +151,7 @@
    * Expected time of one more request there, as a multiple of the time on an
    * idle server of usual speed.
    */
-  expectedCost(now: number): number {
+  expectedTimes(now: number): number {
     const {slots} = this;
     const after = this.loadAt(now) + 1;
     const weight = Math.exp(-this.reportAge(now) / REPORT_DECAY_MS);
@@ -160,11 +160,16 @@
     const full = after > NEARLY_FULL * slots ? NEARLY_FULL_SLOWNESS : 1;
     const turns = 1 + Math.max(0, after - slots) / slots;
     const warm = now < this.warmUntil ? WARM_UP_SLOWNESS : 1;
-    const unwell = this.unwell ? UNWELL_COST : 1;
-    const busy = this.isAsked && now - this.askedAt > BUSY_AFTER_MS;
+    return slowness * full * turns * warm;
+  }
+
+  /** Expected time, made dearer by what speaks against the server. */
+  expectedCost(now: number): number {
     const failing = 1 + FAILURE_COST * this.failuresNow(now);
-    const expected = slowness * full * turns * warm * failing;
-    return expected * unwell * (busy ? BUSY_COST : 1);
+    const unwell = this.unwell ? UNWELL_COST : 1;
+    const isBusy = this.isAsked && now - this.askedAt > BUSY_AFTER_MS;
+    const busy = isBusy ? BUSY_COST : 1;
+    return this.expectedTimes(now) * failing * unwell * busy;
   }
 
   /** Notes that it is asked about its load. */
--- a/packages/balancer/src/service/shared_service.ts
+++ b/packages/balancer/src/service/shared_service.ts
@@ -25,6 +25,8 @@
 const TARGET_MARGIN = 0.88;
 /** Load below which a server counts as idle. */
 const IDLE_LOAD = 1;
+/** Cost above which a server gets only requests that are late anyway. */
+const SOUND_COST = 5;
 /** Usual times within which a good server answers. */
 const GOOD_TIMES = 1.2;
 /** Usual time as a part of the target, while it is not known. */
@@ -151,7 +153,9 @@
     const dueAt = arrivedAt + route.targetMs * TARGET_MARGIN;
     const makesIt = candidates.find(
       ({server, cost}) =>
-        server.loadAt(now) < server.slots && now + cost * usualMs <= dueAt,
+        cost <= SOUND_COST &&
+        server.loadAt(now) < server.slots &&
+        now + server.expectedTimes(now) * usualMs <= dueAt,
     );
     if (makesIt) return sendTo(makesIt);
     if (this.isReachable(seeker, now)) return WAIT;
@@ -159,8 +163,9 @@
     // to requests that can make their targets, or an overload would end with
     // every request late.
     const late = candidates.findLast(
-      ({server, cost}) =>
-        server.loadAt(now) < IDLE_LOAD && now + cost * usualMs <= endsAt,
+      ({server}) =>
+        server.loadAt(now) < IDLE_LOAD &&
+        now + server.expectedTimes(now) * usualMs <= endsAt,
     );
     return late ? sendTo(late) : WAIT;
   }
--- a/packages/gateway/src/request/request_run.ts
+++ b/packages/gateway/src/request/request_run.ts
@@ -13,7 +13,6 @@
   type SharedServer,
   type SharedService,
 } from '@ragworthall/balancer';
-import {setTimeout as delay} from 'node:timers/promises';
 import type {BackendDesk} from '../backend_server/backend_desk.js';
 import type {Prober} from '../backend_server/prober.js';
 import type {SendResult, ServerAnswer} from '../backend_server/send_result.js';
@@ -24,6 +23,7 @@
   Failure,
   type RequestEnd,
 } from './caller_request.js';
+import {firstDefined, sooner} from './first.js';
 import type {WaitingRoom, WaitingRooms} from './waiting_room.js';
 
 /** Time left below which a request is not worth sending, milliseconds. */
@@ -176,7 +176,7 @@
     const {idempotent, maxAttempts} = this.route;
     if (!idempotent || this.sends >= maxAttempts) return first;
     const second = await this.watch(found.server, first);
-    return second ? firstEnd([first, second.end]) : first;
+    return second ? firstDefined([first, second.end]) : first;
   }
 
   /** Watches a send; returns the second one if there had to be one. */
@@ -279,6 +279,14 @@
     this.room.changed();
     const now = desk.clock.now();
     desk.metrics.sendEnded(service.name, result.kind, now - startedAt);
+    if (result.kind !== 'answered') {
+      desk.log.request('send_failed', request.id, {
+        server: server.entry.id,
+        result: result.kind,
+        detail: 'detail' in result ? result.detail : undefined,
+        ms: Math.round(now - startedAt),
+      });
+    }
     this.learn(server, result, now, now - startedAt);
     if (result.kind === 'answered') {
       service.took(route.name, now - startedAt, cost);
@@ -362,35 +370,6 @@
   }
 }
 
-/** Resolves with what ends first: a promise, or a time as undefined. */
-async function sooner<T>(
-  pending: Promise<T>,
-  ms: number,
-): Promise<T | undefined> {
-  const over = new AbortController();
-  const timer = delay(ms, undefined, {signal: over.signal}).catch(
-    () => undefined,
-  );
-  const first = await Promise.race([pending, timer]);
-  over.abort();
-  return first;
-}
-
-/** Returns the first end; undefined when all have ended without one. */
-async function firstEnd(
-  ends: readonly Promise<RequestEnd | undefined>[],
-): Promise<RequestEnd | undefined> {
-  return new Promise(resolve => {
-    let open = ends.length;
-    ends.forEach(pending => {
-      void pending.then(end => {
-        open -= 1;
-        if (end || open === 0) resolve(end);
-      });
-    });
-  });
-}
-
 function refused(reason: Failure): RequestEnd {
   return {kind: 'refused', reason, retryAfterMs: RETRY_AFTER_MS};
 }
