Serve services whose servers tell no load, and ones without a health path

Cause: without a health path a question ended at once and was asked again in a loop without a wait; a first answer of a failing server without the load header marked its whole service as one that tells no load.

--- a/packages/gateway/src/backend_server/prober.ts
+++ b/packages/gateway/src/backend_server/prober.ts
@@ -42,7 +42,11 @@
     server: SharedServer,
   ): Promise<void> {
     const path = service.terms?.healthPath;
-    if (path === undefined) return;
+    if (path === undefined) {
+      // Without a path nothing can be asked: own counts have to do.
+      service.reportsLoad = false;
+      return;
+    }
     this.sent += 1;
     const askedAt = this.clock.now();
     server.ask(askedAt);
@@ -59,7 +63,8 @@
         server.answered();
         server.observeHealth(answer.well);
         if (answer.load) server.observe(answer.load, askedAt, now);
-        service.reportsLoad ??= answer.load !== undefined;
+        if (answer.load) service.reportsLoad = true;
+        else if (answer.well) service.reportsLoad ??= false;
         return;
       case 'misplaced':
         server.foundMisplaced();
