Pass on what few instances read in the store

Ruled out: longer waits alone (a connection that went silent is noticed only when the wait is over); passing on whole configurations (150 KB to 13 listeners over 10 Mbit/s holds a link for more than a second: above 16 KB each instance reads for itself); rows from several sources (they would cross failure domains, which is priced).

Change: in fleets of more than eight the first instance of each failure domain reads for its domain; the others listen to it and to a witness in the next domain, and read by themselves as soon as the last word is 1.3 s old. Nobody is appointed. The frames' codec and the socket of the cell's links serve both protocols now.

--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -42,6 +42,8 @@
 export * from './backend_server/shared_server.js';
 export * from './instance/deployment.js';
 export * from './instance/lapsed_servers.js';
+export * from './instance/news_sources.js';
+export * from './instance/table_position.js';
 export * from './route/route.js';
 export * from './route/route_table.js';
 export * from './route/split.js';
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,6 +1,11 @@
-/** Parts of the daemon for benchmarks and tests. */
+/** Parts of the daemon for other front ends, benchmarks and tests. */
 export * from './settings/settings.js';
 export {DaemonLog} from './log/daemon_log.js';
 export {withoutHops} from './caller/header_filter.js';
 export {StopSignals} from './instance/stop_signals.js';
+export {Dialler} from './peer/dialler.js';
+export {type FrameCodec, frameCodec} from './peer/frame_codec.js';
+export {type LinkError, linkErrorMessage} from './peer/link_error.js';
 export {encode as encodePeerMessage, type PeerMessage} from './peer/message.js';
+export {PeerListener} from './peer/peer_listener.js';
+export {PeerSocket} from './peer/peer_socket.js';
--- a/packages/daemon/src/peer/handshake.ts
+++ b/packages/daemon/src/peer/handshake.ts
@@ -6,7 +6,12 @@
 import {createHmac, randomBytes, timingSafeEqual} from 'node:crypto';
 import {err, ok, type Result} from 'neverthrow';
 import type {LinkError} from './link_error.js';
-import {encode, type MessageOf, PROTOCOL_VERSION} from './message.js';
+import {
+  encode,
+  type MessageOf,
+  type PeerMessage,
+  PROTOCOL_VERSION,
+} from './message.js';
 import {type PeerSocket, SETUP_TIMEOUT_MS} from './peer_socket.js';
 
 const NONCE_BYTES = 32;
@@ -18,7 +23,7 @@
 
 /** Shakes hands; returns what the other end said, or why the link is refused. */
 export async function shakeHands(
-  socket: PeerSocket,
+  socket: PeerSocket<PeerMessage>,
   own: LinkEnd,
   cell: Cell,
   secret: string,
@@ -34,7 +39,7 @@
 }
 
 async function exchange(
-  socket: PeerSocket,
+  socket: PeerSocket<PeerMessage>,
   own: LinkEnd,
   cell: Cell,
   secret: string,
@@ -120,6 +125,6 @@
   return a.byteLength === b.byteLength && timingSafeEqual(a, b);
 }
 
-function endOf(socket: PeerSocket): LinkError {
+function endOf(socket: PeerSocket<PeerMessage>): LinkError {
   return socket.error ?? {kind: 'closed', code: 0};
 }
--- a/packages/daemon/src/peer/links.ts
+++ b/packages/daemon/src/peer/links.ts
@@ -3,6 +3,7 @@
 import type {LinkError} from './link_error.js';
 import {shakeHands, type LinkEnd} from './handshake.js';
 import {type LinkEvents, PeerConnection} from './peer_connection.js';
+import type {PeerMessage} from './message.js';
 import type {PeerSocket} from './peer_socket.js';
 
 /** What happens to links, for the log and the fleet. */
@@ -45,7 +46,7 @@
    * it came to a link, and why it ended.
    */
   async run(
-    socket: PeerSocket,
+    socket: PeerSocket<PeerMessage>,
     own: LinkEnd,
     address?: string,
   ): Promise<{readonly wasLinked: boolean; readonly err: LinkError}> {
@@ -96,7 +97,7 @@
   }
 
   private refuse(
-    socket: PeerSocket,
+    socket: PeerSocket<PeerMessage>,
     err: LinkError,
     address: string | undefined,
   ): {readonly wasLinked: boolean; readonly err: LinkError} {
--- a/packages/daemon/src/peer/message.ts
+++ b/packages/daemon/src/peer/message.ts
@@ -9,8 +9,8 @@
 import {contractSchema, serviceSchema} from '@ragworthall/contracts';
 import type {CallResult} from '@ragworthall/balancer';
 import type {ServiceId} from '@ragworthall/contracts';
-import {Packr} from 'msgpackr';
 import {z} from 'zod';
+import {frameCodec} from './frame_codec.js';
 
 /** Version of the protocol; ends with different versions do not link. */
 export const PROTOCOL_VERSION = 1;
@@ -221,40 +221,9 @@
   {kind: K}
 >;
 
-/** What a frame holds. */
-export type Decoded =
-  | {readonly kind: 'message'; readonly message: PeerMessage}
-  | {readonly kind: 'unknown'; readonly name: string}
-  | {readonly kind: 'malformed'; readonly detail: string};
-
-// Plain maps: a frame can be read without those before it.
-const packr = new Packr({useRecords: false, mapsAsObjects: true});
-
-/** Returns the frame of a message. */
-export function encode(message: PeerMessage): Uint8Array {
-  return packr.pack(message);
-}
-
-/** Reads a frame. */
-export function decode(frame: Uint8Array): Decoded {
-  const value = unpack(frame);
-  const name = (value as {kind?: unknown} | null)?.kind;
-  if (typeof name !== 'string') {
-    return {kind: 'malformed', detail: 'no kind'};
-  }
-  if (!KINDS.has(name)) return {kind: 'unknown', name};
-  const parsed = messageSchema.safeParse(value);
-  if (parsed.success) return {kind: 'message', message: parsed.data};
-  return {kind: 'malformed', detail: z.prettifyError(parsed.error)};
-}
-
-function unpack(frame: Uint8Array): unknown {
-  try {
-    return packr.unpack(frame) as unknown;
-  } catch {
-    return undefined;
-  }
-}
+/** Frames of these messages. */
+export const PEER_CODEC = frameCodec<PeerMessage>(messageSchema, KINDS);
+export const {encode, decode} = PEER_CODEC;
 
 /** What a message's call result stands for. */
 export function resultOf(message: MessageOf<'result'>): CallResult {
--- a/packages/daemon/src/peer/peer_connection.ts
+++ b/packages/daemon/src/peer/peer_connection.ts
@@ -61,7 +61,7 @@
   private resolveEnded!: () => void;
 
   constructor(
-    private readonly socket: PeerSocket,
+    private readonly socket: PeerSocket<PeerMessage>,
     /** What the other end said in its handshake. */
     readonly peer: MessageOf<'hello'>,
     /** Whether the end with the higher seat dialled. */
--- a/packages/daemon/src/peer/peer_listener.ts
+++ b/packages/daemon/src/peer/peer_listener.ts
@@ -2,26 +2,31 @@
 import {once} from 'node:events';
 import type {AddressInfo} from 'node:net';
 import {WebSocketServer} from 'ws';
+import type {FrameCodec} from './frame_codec.js';
 import {PeerSocket} from './peer_socket.js';
 
 /** Listens on the address for peers. */
-export class PeerListener implements AsyncDisposable {
-  private accept: ((socket: PeerSocket) => void) | undefined;
+export class PeerListener<M> implements AsyncDisposable {
+  private accept: ((socket: PeerSocket<M>) => void) | undefined;
 
-  private constructor(private readonly server: WebSocketServer) {
+  private constructor(
+    private readonly server: WebSocketServer,
+    codec: FrameCodec<M>,
+  ) {
     server.on('connection', ws => {
-      const socket = new PeerSocket(ws);
+      const socket = new PeerSocket(ws, codec);
       if (this.accept) this.accept(socket);
       else socket[Symbol.dispose]();
     });
   }
 
   /** Starts to listen; links are refused until {@link onLink} is called. */
-  static async listen(
+  static async listen<M>(
     host: string,
     port: number,
+    codec: FrameCodec<M>,
     maxMessageBytes: number,
-  ): Promise<PeerListener> {
+  ): Promise<PeerListener<M>> {
     const server = new WebSocketServer({
       host,
       port,
@@ -29,7 +34,7 @@
       perMessageDeflate: false,
     });
     await once(server, 'listening');
-    return new PeerListener(server);
+    return new PeerListener(server, codec);
   }
 
   /** IP address and port. */
@@ -39,7 +44,7 @@
   }
 
   /** Passes each new socket on. */
-  onLink(accept: (socket: PeerSocket) => void): void {
+  onLink(accept: (socket: PeerSocket<M>) => void): void {
     this.accept = accept;
   }
 
--- a/packages/daemon/src/peer/peer_socket.test.ts
+++ b/packages/daemon/src/peer/peer_socket.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import {once} from 'node:events';
 import {createServer, type AddressInfo} from 'node:net';
+import {PEER_CODEC} from './message.js';
 import {PeerSocket} from './peer_socket.js';
 
 const NEVER = new AbortController().signal;
@@ -18,7 +19,7 @@
 
 test('a socket to an address that refuses ends, and reads to its end', async t => {
   const address = await freeAddress();
-  using socket = await PeerSocket.dial(address, MAX_BYTES, NEVER);
+  using socket = await PeerSocket.dial(address, PEER_CODEC, MAX_BYTES, NEVER);
   t.is(await socket.receive(), undefined);
   t.deepEqual(socket.error, {kind: 'unreachable', detail: 'ECONNREFUSED'});
 });
@@ -28,7 +29,7 @@
   await once(server, 'listening');
   const {port} = server.address() as AddressInfo;
   const address = `127.0.0.1:${port}`;
-  using socket = await PeerSocket.dial(address, MAX_BYTES, NEVER);
+  using socket = await PeerSocket.dial(address, PEER_CODEC, MAX_BYTES, NEVER);
   t.is(await socket.receive(), undefined);
   t.is(socket.error?.kind, 'unreachable');
   server.close();
--- a/packages/daemon/src/peer/peer_socket.ts
+++ b/packages/daemon/src/peer/peer_socket.ts
@@ -1,8 +1,8 @@
 /** One WebSocket between two instances: frames in, frames out, and its end. */
 import {on, once} from 'node:events';
 import {WebSocket} from 'ws';
+import type {FrameCodec} from './frame_codec.js';
 import type {LinkError} from './link_error.js';
-import {decode, encode, type PeerMessage} from './message.js';
 
 /** Bytes that may wait for a slow peer. */
 const MAX_QUEUED_BYTES = 8 * 1_048_576;
@@ -12,17 +12,20 @@
 const CODE_TOO_LARGE = 1009;
 
 /** What a frame is to the task that reads. */
-export type Received =
-  | {readonly kind: 'message'; readonly message: PeerMessage}
+export type Received<M> =
+  | {readonly kind: 'message'; readonly message: M}
   | {readonly kind: 'unknown'; readonly name: string};
 
 /** A WebSocket that carries messages. */
-export class PeerSocket implements Disposable {
+export class PeerSocket<M> implements Disposable {
   /** Why it ended; undefined while it is open. */
   error: LinkError | undefined;
   private readonly frames: AsyncIterator<[Buffer, boolean]>;
 
-  constructor(private readonly ws: WebSocket) {
+  constructor(
+    private readonly ws: WebSocket,
+    private readonly codec: FrameCodec<M>,
+  ) {
     ws.on('error', err => this.fail(errorOf(err)));
     ws.on('close', code => this.fail(closedBy(code)));
     // Created now, so that no frame is missed.
@@ -32,17 +35,18 @@
   }
 
   /** Dials an address; the socket has an error if it cannot be reached. */
-  static async dial(
+  static async dial<M>(
     address: string,
+    codec: FrameCodec<M>,
     maxMessageBytes: number,
     signal: AbortSignal,
-  ): Promise<PeerSocket> {
+  ): Promise<PeerSocket<M>> {
     const ws = new WebSocket(`ws://${address}`, {
       maxPayload: maxMessageBytes,
       handshakeTimeout: SETUP_TIMEOUT_MS,
       perMessageDeflate: false,
     });
-    const socket = new PeerSocket(ws);
+    const socket = new PeerSocket(ws, codec);
     const onAbort = () => socket.end({kind: 'disposed'});
     signal.addEventListener('abort', onAbort, {once: true});
     // Rejects if the address cannot be reached; the socket has the reason.
@@ -52,19 +56,19 @@
   }
 
   /** Sends a message; returns false if it was not taken. */
-  send(message: PeerMessage): boolean {
+  send(message: M): boolean {
     if (this.error || this.ws.readyState !== WebSocket.OPEN) return false;
     if (this.ws.bufferedAmount > MAX_QUEUED_BYTES) return false;
-    this.ws.send(encode(message));
+    this.ws.send(this.codec.encode(message));
     return true;
   }
 
   /** Waits for the next message; undefined when the socket has ended. */
-  async receive(): Promise<Received | undefined> {
+  async receive(): Promise<Received<M> | undefined> {
     // Rejects with an error of the socket, which is noted already.
     const next = await this.frames.next().catch(() => undefined);
     if (!next || next.done || this.error) return undefined;
-    const decoded = decode(next.value[0]);
+    const decoded = this.codec.decode(next.value[0]);
     switch (decoded.kind) {
       case 'message':
       case 'unknown':
--- a/packages/daemon/src/peer/peers.test.ts
+++ b/packages/daemon/src/peer/peers.test.ts
@@ -15,6 +15,7 @@
 import {once} from 'node:events';
 import {WebSocket} from 'ws';
 import {shakeHands} from './handshake.js';
+import {PEER_CODEC} from './message.js';
 import {PeerSocket} from './peer_socket.js';
 import {CLOCK, TestInstance, until} from './peers.test_support.js';
 
@@ -96,7 +97,7 @@
     peerAddress: '127.0.0.1:1',
     callerUrl: '',
   });
-  const socket = await PeerSocket.dial(address, 65_536, NEVER);
+  const socket = await PeerSocket.dial(address, PEER_CODEC, 65_536, NEVER);
   const shaken = await shakeHands(socket, 'dialler', cell, secret);
   return {socket, shaken};
 }
--- a/packages/daemon/src/peer/peers.ts
+++ b/packages/daemon/src/peer/peers.ts
@@ -37,7 +37,7 @@
   type PeerConnection,
 } from './peer_connection.js';
 import {type LinkLog, Links} from './links.js';
-import type {MessageOf, PeerMessage} from './message.js';
+import {type MessageOf, PEER_CODEC, type PeerMessage} from './message.js';
 import {PeerListener} from './peer_listener.js';
 import type {WatchedFleet} from '../platform/table_watch.js';
 import {PeerSocket} from './peer_socket.js';
@@ -91,7 +91,7 @@
 
   private constructor(
     private readonly options: PeersOptions,
-    private readonly listener: PeerListener,
+    private readonly listener: PeerListener<PeerMessage>,
   ) {
     const {identity, keeper, clock} = options;
     this.clock = clock;
@@ -115,7 +115,10 @@
   static async listen(options: PeersOptions): Promise<Peers> {
     const {host, port} = options.listen;
     const max = options.bodyBytes + MESSAGE_MARGIN;
-    return new Peers(options, await PeerListener.listen(host, port, max));
+    return new Peers(
+      options,
+      await PeerListener.listen(host, port, PEER_CODEC, max),
+    );
   }
 
   /** Address for links from other instances. */
@@ -295,7 +298,7 @@
       return {wasLinked: true, err: {kind: 'disposed'}} as const;
     }
     const max = this.options.bodyBytes + MESSAGE_MARGIN;
-    const socket = await PeerSocket.dial(address, max, signal);
+    const socket = await PeerSocket.dial(address, PEER_CODEC, max, signal);
     if (signal.aborted) socket[Symbol.dispose]();
     return this.links.run(socket, 'dialler', address);
   }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,7 @@
 /** An entry instance on a platform that keeps registry and configuration. */
 export * from './instance/gateway.js';
 export * from './log/gateway_log.js';
+export * from './peer/fleet_directory.js';
 export * from './platform/row_source.js';
 export * from './platform/table_follower.js';
 export * from './platform/wire_names.js';
--- a/packages/gateway/src/instance/gateway.ts
+++ b/packages/gateway/src/instance/gateway.ts
@@ -2,6 +2,7 @@
 import {
   type Clock,
   Deployment,
+  type Random,
   type RoutingConfiguration,
   SeededRandom,
   type SendBudgetTerms,
@@ -14,6 +15,8 @@
 import type {GatewayLog} from '../log/gateway_log.js';
 import type {GatewayMetrics} from '../metrics/gateway_metrics.js';
 import type {RowSource} from '../platform/row_source.js';
+import type {FleetDirectory} from '../peer/fleet_directory.js';
+import {NewsExchange} from '../peer/news_exchange.js';
 import {type FollowPace, TableFollower} from '../platform/table_follower.js';
 import type {WireNames} from '../platform/wire_names.js';
 import {runRequest} from '../request/request_run.js';
@@ -27,16 +30,26 @@
 const KEEP_OVERRUN = 3;
 /** Part of the grace period after which what is left is cut. */
 const GRACE_PART = 0.97;
+/** Wait of instances that read for others, milliseconds: see `TablePosition`. */
+const READER_WAIT_MS = 1_000;
 /**
  * The wait bounds how long a connection to the store may be silent before that
  * is noticed; configurations have to be in force within two seconds.
  */
-const CONFIGURATION_PACE: FollowPace = {waitMs: 2_000, gatherMs: 100};
+const CONFIGURATION_PACE: FollowPace = {
+  waitMs: 2_000,
+  readerWaitMs: READER_WAIT_MS,
+  gatherMs: 100,
+};
 /**
  * Health checks tell of leaving servers too, so the wait may be longer. Entries
  * of many servers change all the time: they are read together.
  */
-const REGISTRY_PACE: FollowPace = {waitMs: 5_000, gatherMs: 700};
+const REGISTRY_PACE: FollowPace = {
+  waitMs: 5_000,
+  readerWaitMs: READER_WAIT_MS,
+  gatherMs: 700,
+};
 /** Pause between two looks at what is in flight, milliseconds. */
 const DRAIN_LOOK_MS = 20;
 
@@ -46,6 +59,9 @@
   readonly failureDomain: string;
   /** Where callers connect. */
   readonly callers: {readonly host: string; readonly port: number};
+  /** Where other instances connect. */
+  readonly peers: {readonly host: string; readonly port: number};
+  readonly fleet: FleetDirectory;
   readonly budget: SendBudgetTerms;
   /** Time from the signal to stop until the process is ended, milliseconds. */
   readonly graceMs: number;
@@ -75,9 +91,12 @@
   private running: Promise<unknown> = Promise.resolve();
   private stopping = false;
 
-  private constructor(private readonly parts: GatewayParts) {
-    const {clock, log, metrics, wire, failureDomain, budget, instance} = parts;
-    const random = new SeededRandom(seedOf(instance));
+  private constructor(
+    private readonly parts: GatewayParts,
+    private readonly exchange: NewsExchange,
+    random: Random,
+  ) {
+    const {clock, log, metrics, wire, failureDomain, budget} = parts;
     this.deployment = new Deployment({failureDomain, budget, random});
     this.backends = new BackendDesk(wire);
     const prober = new Prober(this.backends, clock, log);
@@ -112,7 +131,19 @@
 
   /** Starts to serve; rejects if the address is taken. */
   static async start(parts: GatewayParts): Promise<Gateway> {
-    const gateway = new Gateway(parts);
+    const {instance, failureDomain, peers, fleet, clock, log} = parts;
+    const random = new SeededRandom(seedOf(instance));
+    const address = `${peers.host}:${peers.port}`;
+    const self = {id: instance, failureDomain, address};
+    const exchange = await NewsExchange.start({
+      self,
+      peers,
+      fleet,
+      clock,
+      random,
+      log,
+    });
+    const gateway = new Gateway(parts, exchange, random);
     const {host, port} = parts.callers;
     await gateway.callers.listen(port, host);
     gateway.followTables();
@@ -140,6 +171,7 @@
     const until = clock.now() + graceMs * GRACE_PART;
     this.stopping = true;
     this.callers.startClosing();
+    await this.exchange.leave();
     log.life('stopping', {graceMs});
     await delay(KEEP_ADDRESS_MS * KEEP_OVERRUN);
     this.callers.stopListening();
@@ -156,6 +188,7 @@
     this.registrySink[Symbol.dispose]();
     this.callers.stopListening();
     this.backends[Symbol.dispose]();
+    await this.exchange[Symbol.asyncDispose]();
     await this.running;
   }
 
@@ -166,27 +199,26 @@
       log,
       bounds => this.callers.bound(bounds),
     );
+    const desk = {exchange: this.exchange, clock, log, metrics};
     const followers = [
       new TableFollower(
         'registry',
         registry,
         this.registrySink,
-        clock,
-        log,
-        metrics,
+        desk,
         REGISTRY_PACE,
       ),
       new TableFollower(
         'configuration',
         configurations,
         configurationSink,
-        clock,
-        log,
-        metrics,
+        desk,
         CONFIGURATION_PACE,
       ),
     ];
-    this.running = Promise.all(followers.map(f => f.run(this.tasks.signal)));
+    const {signal} = this.tasks;
+    const tasks = [...followers, this.exchange].map(task => task.run(signal));
+    this.running = Promise.all(tasks);
   }
 }
 
--- a/packages/gateway/src/metrics/gateway_metrics.ts
+++ b/packages/gateway/src/metrics/gateway_metrics.ts
@@ -55,6 +55,13 @@
     registers: [this.registry],
   });
 
+  private readonly newsMessages = new Counter({
+    name: 'ragworthall_news_total',
+    help: 'News of the platform’s store from other instances, by table and kind',
+    labelNames: ['table', 'kind'],
+    registers: [this.registry],
+  });
+
   /** Adds the gauges; they are read only when the metrics are asked for. */
   watch(sources: MetricSources): void {
     this.gauge(
@@ -90,6 +97,11 @@
     this.storeCalls.inc({table, result});
   }
 
+  /** Counts a piece of news from another instance. */
+  newsHeard(table: string, kind: string): void {
+    this.newsMessages.inc({table, kind});
+  }
+
   /** All metrics as text. */
   text(): Promise<string> {
     return this.registry.metrics();
--- /dev/null
+++ b/packages/gateway/src/peer/fleet_directory.ts
@@ -0,0 +1,17 @@
+/** Where instances find each other. */
+import type {InstanceEntry} from '@ragworthall/balancer';
+import type {Result} from 'neverthrow';
+import type {StoreError} from '../platform/row_source.js';
+
+/** The list of instances in the platform's store. */
+export interface FleetDirectory {
+  /** Writes the entry of this instance. */
+  announce(
+    entry: InstanceEntry,
+    signal: AbortSignal,
+  ): Promise<Result<void, StoreError>>;
+  /** Reads the entries of all instances; some may have ended. */
+  list(
+    signal: AbortSignal,
+  ): Promise<Result<readonly InstanceEntry[], StoreError>>;
+}
--- /dev/null
+++ b/packages/gateway/src/peer/news_message.ts
@@ -0,0 +1,45 @@
+/** Messages between instances that pass on what they read in the store. */
+import {frameCodec} from '@ragworthall/daemon';
+import {z} from 'zod';
+
+const version = z.int();
+
+const row = z.object({
+  key: z.string(),
+  version,
+  /** As the store has it; left out if the row was removed. */
+  text: z.string().optional(),
+});
+
+const news = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('rows'),
+    from: version,
+    version,
+    rows: z.array(row).readonly(),
+  }),
+  z.object({kind: z.literal('unchanged'), from: version, version}),
+  z.object({kind: z.literal('changed'), version}),
+  z.object({kind: z.literal('no_answer')}),
+  z.object({kind: z.literal('regained')}),
+]);
+
+const messageSchema = z.discriminatedUnion('kind', [
+  /** The first message on a link: what the other end wants to hear. */
+  z.object({
+    kind: z.literal('listen'),
+    instance: z.string(),
+    givesRows: z.boolean(),
+  }),
+  z.object({kind: z.literal('news'), table: z.string(), news}),
+]);
+
+/** A message between instances. */
+export type NewsMessage = z.infer<typeof messageSchema>;
+
+const KINDS: ReadonlySet<string> = new Set(
+  messageSchema.options.map(option => option.shape.kind.value),
+);
+
+/** Frames of these messages. */
+export const NEWS_CODEC = frameCodec<NewsMessage>(messageSchema, KINDS);
