Tell the story of one request from the logs: ragworthall explain

Cause: on call, the way from a request's id to its cause was a grep over the logs of all instances, without what they believed meanwhile.

Change: a verb that needs no instance. It reads lines from files or standard input, with or without a collector's prefix, and prints those of the request in order of time, the configuration before it, and the beliefs about the servers that it was sent to. An id that no line has is said so, with the number of lines that were left out.

Ruled out: asking the instances (they keep no lines).

--- a/packages/cli/src/command.ts
+++ b/packages/cli/src/command.ts
@@ -50,11 +50,18 @@
   | {readonly kind: 'history'};
 
 /** Name of a verb. */
-export type Verb = Command['kind'];
+export type Verb = Command['kind'] | 'explain';
 
 /** A command line that was understood. */
 export type Invocation =
   | {readonly kind: 'help'; readonly verb: Verb | undefined}
+  /** Works on logs, without an instance. */
+  | {
+      readonly kind: 'explain';
+      readonly request: string;
+      readonly files: readonly string[];
+      readonly output: OutputFormat;
+    }
   | {
       readonly kind: 'run';
       readonly command: Command;
--- a/packages/cli/src/command_line.ts
+++ b/packages/cli/src/command_line.ts
@@ -70,6 +70,7 @@
 ): Parsed<Invocation> {
   return splitArgs(verb, args).andThen(({values, positionals}) => {
     if (values.help) return ok<Invocation>({kind: 'help', verb});
+    if (verb === 'explain') return explanationOf(values, positionals);
     return checkArgs(verb, positionals).andThen(() =>
       Result.combine([
         commandOf(verb, values, positionals),
@@ -82,6 +83,16 @@
   });
 }
 
+function explanationOf(
+  values: Values,
+  [request, ...files]: readonly string[],
+): Parsed<Invocation> {
+  if (request === undefined) return err('ID is missing; add it');
+  return outputOf(values).map(output => {
+    return {kind: 'explain', request, files, output};
+  });
+}
+
 function splitArgs(
   verb: Verb,
   args: readonly string[],
@@ -135,7 +146,7 @@
 }
 
 function commandOf(
-  verb: Verb,
+  verb: Command['kind'],
   values: Values,
   [serviceId = '', backendServerId = '']: readonly string[],
 ): Parsed<Command> {
--- a/packages/cli/src/run.ts
+++ b/packages/cli/src/run.ts
@@ -8,6 +8,7 @@
 import {Output, type Streams} from './output.js';
 import {apply} from './verbs/apply.js';
 import {drain} from './verbs/drain.js';
+import {explain} from './verbs/explain.js';
 import {get} from './verbs/get.js';
 import {history} from './verbs/history.js';
 import {list} from './verbs/list.js';
@@ -40,6 +41,10 @@
     case 'help':
       streams.out(helpText(invocation.verb));
       return ExitCode.Done;
+    case 'explain': {
+      const output = new Output(invocation.output, streams);
+      return explain(output, invocation.request, invocation.files);
+    }
     case 'run': {
       const {command, connection} = invocation;
       const {server, token, timeoutMs} = connection;
--- a/packages/cli/src/verb_specs.ts
+++ b/packages/cli/src/verb_specs.ts
@@ -145,4 +145,14 @@
     options: [],
     details: 'Shows at most the last hundred accepted changes, newest last.',
   },
+  explain: {
+    summary: 'tell the story of one request from the logs',
+    args: ['ID', '[FILE...]'],
+    options: [],
+    details: `Reads log lines of any number of instances from the files, or from standard
+input, and prints those of the request in order of time, with what its
+instances believed of the servers that it was sent to. Asks no instance; the
+options for server, token and timeout have no effect. Exit code 1 if no line
+has the id.`,
+  },
 };
--- a/packages/cli/src/verbs/apply.ts
+++ b/packages/cli/src/verbs/apply.ts
@@ -1,5 +1,4 @@
 /** Applies a file of services. */
-import {readFileSync} from 'node:fs';
 import {
   changeSetSchema,
   documentProblemText,
@@ -7,14 +6,12 @@
   parseJsonc,
   type ChangeSet,
 } from '@ragworthall/contracts';
-import {err, ok, type Result} from 'neverthrow';
 import type {ChangeOptions} from '../command.js';
 import {ExitCode} from '../exit_code.js';
+import {readText} from '../read_text.js';
 import {carryOut} from './carry_out.js';
 import type {VerbContext} from './verb_context.js';
 
-const STDIN_FD = 0;
-
 /** Checks the file in whole, then applies it. */
 export async function apply(
   ctx: VerbContext,
@@ -42,12 +39,3 @@
   ctx.output.error(message, {kind: 'invalid_file', problems: set.error});
   return undefined;
 }
-
-function readText(file: string): Result<string, string> {
-  try {
-    return ok(readFileSync(file === '-' ? STDIN_FD : file, 'utf8'));
-  } catch (reason) {
-    const message = reason instanceof Error ? reason.message : String(reason);
-    return err(`${file} cannot be read: ${message}; check --file`);
-  }
-}
--- /dev/null
+++ b/packages/cli/src/verbs/explain.test.ts
@@ -0,0 +1,99 @@
+/** The story of a request from the logs of several instances. */
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import test from 'ava';
+import {ExitCode} from '../exit_code.js';
+import {run} from '../run.js';
+
+const START = Date.parse('2026-01-10T10:00:00Z');
+const NEVER = new AbortController().signal;
+
+function line(ms: number, instance: string, fields: object): string {
+  const time = new Date(START + ms).toISOString();
+  return JSON.stringify({instance, level: 'info', time, ...fields});
+}
+
+const FIRST = [
+  line(0, 'e-1', {kind: 'configuration', version: 7, outcome: 'taken'}),
+  line(9_000, 'e-1', {kind: 'server_suspect', server: 'i-1', detail: 'reset'}),
+  line(9_100, 'e-1', {kind: 'server_suspect', server: 'i-9', detail: 'reset'}),
+  line(10_000, 'e-1', {kind: 'sent', request: 'r1', server: 'i-1', load: 2}),
+  line(10_010, 'e-1', {kind: 'sent', request: 'r2', server: 'i-9', load: 2}),
+  line(10_600, 'e-1', {
+    kind: 'send_failed',
+    request: 'r1',
+    server: 'i-1',
+    result: 'lost',
+  }),
+  line(10_601, 'e-1', {
+    kind: 'ended',
+    request: 'r1',
+    end: 'unknown',
+    omittedBefore: 4,
+  }),
+];
+const SECOND = [
+  '  12.5000 e-2 ' + line(10_300, 'e-2', {kind: 'ended', request: 'r1'}),
+  'no line of a log',
+];
+
+/** Runs `explain` on two logs; returns its exit code and what it wrote. */
+async function explained(...args: readonly string[]) {
+  const dir = mkdtempSync(join(tmpdir(), 'explain-'));
+  const files = [FIRST, SECOND].map((lines, i) => {
+    const file = join(dir, `${i}.log`);
+    writeFileSync(file, lines.join('\n'));
+    return file;
+  });
+  const written = {out: '', err: ''};
+  const streams = {
+    out: (text: string) => void (written.out += text),
+    err: (text: string) => void (written.err += text),
+  };
+  const code = await run(['explain', ...args, ...files], {}, streams, NEVER);
+  rmSync(dir, {recursive: true});
+  return {code, ...written};
+}
+
+test('tells a request in order of time, with what was believed of its servers', async t => {
+  const {code, out} = await explained('r1', '--output', 'json');
+  t.is(code, ExitCode.Done);
+  const {steps, omitted} = JSON.parse(out) as {
+    steps: {kind: string; sinceMs: number; isOwn: boolean}[];
+    omitted: number;
+  };
+  t.deepEqual(
+    steps.map(step => [step.kind, step.sinceMs, step.isOwn]),
+    [
+      ['configuration', -10_000, false],
+      ['server_suspect', -1_000, false],
+      ['sent', 0, true],
+      ['ended', 300, true],
+      ['send_failed', 600, true],
+      ['ended', 601, true],
+    ],
+  );
+  t.is(omitted, 4);
+});
+
+test('prints a table for people, and says that lines were left out', async t => {
+  const {code, out} = await explained('r1');
+  t.is(code, ExitCode.Done);
+  t.regex(out, /MS +INSTANCE +ABOUT +WHAT +DETAILS/);
+  t.regex(out, /600 +e-1 +request +send_failed +server=i-1 result=lost/);
+  t.regex(out, /4 lines of that time were left out/);
+});
+
+test('a request that no line has is said so, with what to do', async t => {
+  const {code, err} = await explained('r3');
+  t.is(code, ExitCode.Failed);
+  t.regex(err, /none of 8 log lines has the request r3; 4 lines were left out/);
+});
+
+test('an id is needed, and a file that is there', async t => {
+  const streams = {out: () => undefined, err: () => undefined};
+  t.is(await run(['explain'], {}, streams, NEVER), ExitCode.Usage);
+  const missing = ['explain', 'r1', '/nowhere/at/all.log'];
+  t.is(await run(missing, {}, streams, NEVER), ExitCode.Usage);
+});
