Thin the log by request, those that went well first

Cause: above 200 lines a second whatever came later in the second was left out, so a request that failed could lack the line that says where it went.

Change: above 60 requests a second a share of them is logged, chosen by a hash of the id, the same at all instances. Lines of the others are held until something goes wrong, and then written with the time that they speak of. Bounds for all lines stay, and what is left out is counted.

Ruled out: writing all lines at a request's end (a process that is killed would leave nothing of those in flight).

--- a/packages/gateway/src/log/gateway_log.ts
+++ b/packages/gateway/src/log/gateway_log.ts
@@ -1,48 +1,24 @@
 /** Log lines of the gateway: bounded in number, the same fields for each kind. */
 import type {Clock} from '@ragworthall/balancer';
 import type {Logger} from 'winston';
+import {LineRate} from './line_rate.js';
+import {RequestLines} from './request_lines.js';
+import {RequestSample} from './request_sample.js';
 
 /** Fields of a line. */
 export type LogFields = Readonly<Record<string, unknown>>;
 
+/** Requests in a second whose lines are written though nothing went wrong. */
+const HEALTHY_REQUESTS_PER_S = 60;
 /** Lines of requests in a second; further ones are counted only. */
-const REQUEST_LINES_PER_S = 200;
+const REQUEST_LINES_PER_S = 400;
 /** Lines about beliefs in a second. */
 const BELIEF_LINES_PER_S = 200;
-const SECOND_MS = 1_000;
-
-/** Lines of one kind that may still be written in this second. */
-class LineRate {
-  private second = -1;
-  private written = 0;
-  private omitted = 0;
-
-  constructor(private readonly perSecond: number) {}
-
-  /** Whether one more line may be written. */
-  tryWrite(now: number): boolean {
-    const second = Math.floor(now / SECOND_MS);
-    if (second !== this.second) {
-      this.second = second;
-      this.written = 0;
-    }
-    this.written += 1;
-    if (this.written <= this.perSecond) return true;
-    this.omitted += 1;
-    return false;
-  }
-
-  /** Returns the number of lines left out since the last call. */
-  takeOmitted(): number {
-    const {omitted} = this;
-    this.omitted = 0;
-    return omitted;
-  }
-}
 
 /** Writes the lines that explain what a gateway did and believed. */
 export class GatewayLog {
   private readonly requests = new LineRate(REQUEST_LINES_PER_S);
+  private readonly sample = new RequestSample(HEALTHY_REQUESTS_PER_S);
   private readonly beliefs = new LineRate(BELIEF_LINES_PER_S);
 
   constructor(
@@ -50,14 +26,21 @@
     private readonly clock: Clock,
   ) {}
 
-  /** A decision on a request. */
-  request(kind: string, id: string, fields: LogFields): void {
-    this.write(this.requests, kind, {request: id, ...fields});
+  /** Opens the log of one request. */
+  request(id: string): RequestLines {
+    const {clock, requests} = this;
+    return new RequestLines(
+      clock,
+      this.sample.takes(id, clock.now()),
+      (kind, fields, atMs) =>
+        this.write(requests, kind, {request: id, ...fields}, atMs),
+      lines => requests.omit(lines),
+    );
   }
 
   /** A change of what this instance believes. */
   belief(kind: string, fields: LogFields): void {
-    this.write(this.beliefs, kind, fields);
+    this.write(this.beliefs, kind, fields, this.clock.now());
   }
 
   /** A dependency that was lost or regained. */
@@ -70,11 +53,15 @@
     this.logger.warn(kind, {kind, ...fields});
   }
 
-  private write(rate: LineRate, kind: string, fields: LogFields): void {
-    const now = this.clock.now();
-    if (!rate.tryWrite(now)) return;
+  private write(
+    rate: LineRate,
+    kind: string,
+    fields: LogFields,
+    atMs: number,
+  ): void {
+    if (!rate.tryWrite(this.clock.now())) return;
     const omitted = rate.takeOmitted();
     const more = omitted > 0 ? {omittedBefore: omitted} : {};
-    this.logger.info(kind, {kind, atMs: Math.round(now), ...fields, ...more});
+    this.logger.info(kind, {kind, atMs: Math.round(atMs), ...fields, ...more});
   }
 }
--- a/packages/gateway/src/request/request_run.ts
+++ b/packages/gateway/src/request/request_run.ts
@@ -17,6 +17,7 @@
 import type {Prober} from '../backend_server/prober.js';
 import type {SendResult, ServerAnswer} from '../backend_server/send_result.js';
 import type {GatewayLog} from '../log/gateway_log.js';
+import type {RequestLines} from '../log/request_lines.js';
 import type {GatewayMetrics} from '../metrics/gateway_metrics.js';
 import {
   type CallerRequest,
@@ -64,10 +65,11 @@
   const {deployment} = desk;
   const {routes} = deployment;
   const matched = routes?.match(request.host, request.target);
+  const lines = desk.log.request(request.id);
   const end = deployment.isKnown
-    ? await runMatched(desk, request, matched)
+    ? await runMatched(desk, request, matched, lines)
     : refused(Failure.Starting);
-  report(desk, request, matched, end);
+  report(desk, request, matched, end, lines);
   return end;
 }
 
@@ -75,12 +77,13 @@
   desk: RunDesk,
   request: CallerRequest,
   matched: MatchedRoute | undefined,
+  lines: RequestLines,
 ): Promise<RequestEnd> {
   if (!matched) return {kind: 'no_route'};
   const {route, split} = matched;
   const service = desk.deployment.service(split.next());
   service.budget.requested(desk.clock.now());
-  return new RequestRun(desk, request, route, service).run();
+  return new RequestRun(desk, request, route, service, lines).run();
 }
 
 /** Logs and counts the end of a request. */
@@ -89,13 +92,16 @@
   request: CallerRequest,
   matched: MatchedRoute | undefined,
   end: RequestEnd,
+  lines: RequestLines,
 ): void {
-  const {clock, log, metrics, deployment} = desk;
+  const {clock, metrics, deployment} = desk;
   const ms = clock.now() - request.arrivedAt;
   const route = matched?.route.name ?? 'none';
   const reason = 'reason' in end ? end.reason : '';
   const status = end.kind === 'answered' ? end.answer.status : undefined;
-  log.request('ended', request.id, {
+  const isHealthy = end.kind === 'answered' && end.answer.status < SERVER_ERROR;
+  if (!isHealthy) lines.failed();
+  lines.add('ended', {
     end: end.kind,
     reason,
     status,
@@ -103,6 +109,7 @@
     configuration: deployment.routes?.configuration.version,
     ms: Math.round(ms),
   });
+  lines.end();
   metrics.requestEnded(route, end.kind, reason || String(status ?? ''), ms);
 }
 
@@ -127,6 +134,7 @@
     private readonly request: CallerRequest,
     private readonly route: Route,
     private readonly service: SharedService,
+    private readonly lines: RequestLines,
   ) {
     const {arrivedAt, waitsMs} = request;
     this.endsAt = arrivedAt + Math.min(waitsMs, route.timeoutMs);
@@ -255,7 +263,7 @@
     const {desk, request, route, service} = this;
     const startedAt = desk.clock.now();
     const timeLeftMs = this.endsAt - startedAt;
-    desk.log.request('sent', request.id, {
+    this.lines.add('sent', {
       route: route.name,
       server: server.entry.id,
       cost: round(cost),
@@ -280,7 +288,8 @@
     const now = desk.clock.now();
     desk.metrics.sendEnded(service.name, result.kind, now - startedAt);
     if (result.kind !== 'answered') {
-      desk.log.request('send_failed', request.id, {
+      this.lines.failed();
+      this.lines.add('send_failed', {
         server: server.entry.id,
         result: result.kind,
         detail: 'detail' in result ? result.detail : undefined,
