Ask servers in use before those that need a new connection

Ruled out: a fixed subset of servers for each instance (it pools badly and has to be rebuilt as servers come and go); keeping connections idle for longer (servers close them after 10 s).

Change: a server without a report for 8 s costs 1.08 times as much, more than distance and chance together. What is asked and used first is then a small set that moves on when it is busy.

The test fails without the factor.

--- a/packages/balancer/src/service/shared_service.test.ts
+++ b/packages/balancer/src/service/shared_service.test.ts
@@ -209,3 +209,16 @@
   t.is(spend(START + 10_100), 0);
   t.is(spend(START + 12_000), 3);
 });
+
+test('servers in use are asked before those that need a new connection', t => {
+  const ids = Array.from({length: 20}, (_, i) => `s${i}`);
+  const {service, servers} = serviceOf(ids);
+  const used = servers.slice(7, 9);
+  used.forEach(server => report(server, 0, 1));
+  const now = START + 3_000;
+  const place = service.place(seeker(now), now);
+  if (place.kind !== 'ask') return t.fail(place.kind);
+  const first = place.servers.slice(0, 2).map(server => server.entry.id);
+  t.deepEqual(first.sort(), ['s7', 's8']);
+  return undefined;
+});
--- a/packages/balancer/src/service/shared_service.ts
+++ b/packages/balancer/src/service/shared_service.ts
@@ -13,6 +13,13 @@
 const CURRENT_MS = 40;
 /** Factor on the cost of servers in other failure domains. */
 const DISTANCE_COST = 1.04;
+/**
+ * Factor on the cost of servers to which a new connection would be opened:
+ * more than distance and chance together, so that those in use are asked first.
+ */
+const COLD_COST = 1.08;
+/** Age of a report from which the connection counts as closed, milliseconds. */
+const COLD_MS = 8_000;
 /** Size of the random part of a comparison, so that equal servers take turns. */
 const TIE_COST = 0.02;
 /** Age up to which a report that spoke against a server counts, milliseconds. */
@@ -208,7 +215,8 @@
     const tie = 1 + (TIE_COST * this.random.below(1_024)) / 1_024;
     const suspect = server.isSuspect(now) ? SUSPECT_COST : 1;
     const distance = near ? 1 : DISTANCE_COST;
-    return server.expectedCost(now) * distance * tie * suspect;
+    const cold = server.reportAge(now) > COLD_MS ? COLD_COST : 1;
+    return server.expectedCost(now) * distance * cold * tie * suspect;
   }
 }
 
