Bound the probes of each server; ask full servers later

Ruled out: a pause that grows with fruitless questions (it delays the requests that come when servers are free again).

Change: each instance has a part of half the bound, by the number of servers and of known instances (ProbeAllowance). A server that is known to be full is not asked again before half of the time in which a slot becomes free there, 300 ms at most.

--- a/packages/balancer/src/backend_server/shared_server.ts
+++ b/packages/balancer/src/backend_server/shared_server.ts
@@ -68,6 +68,8 @@
 const MAX_SUSPICION_MS = 3_000;
 /** Time after which a question without an answer means that the server is busy, milliseconds. */
 const BUSY_AFTER_MS = 20;
+/** Part of the time for a slot in which it rarely becomes free. */
+const FREE_SOONER = 0.5;
 /** Factor on the expected time of a server that is busy in this way. */
 const BUSY_COST = 3;
 /** Factor on the expected time of a server that says it is not well. */
@@ -163,6 +165,18 @@
     return slowness * full * turns * warm;
   }
 
+  /**
+   * Time in which no slot is expected to become free, as a multiple of the time
+   * on an idle server of usual speed; 0 if it is not full.
+   */
+  fullTimes(now: number): number {
+    const {slots} = this;
+    const over = this.loadAt(now) - slots + 1;
+    if (over <= 0) return 0;
+    const slowness = this.report?.slowness ?? TYPICAL_SLOWNESS;
+    return (FREE_SOONER * slowness * over) / slots;
+  }
+
   /** Expected time, made dearer by what speaks against the server. */
   expectedCost(now: number): number {
     const failing = 1 + FAILURE_COST * this.failuresNow(now);
--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -40,6 +40,7 @@
 export * from './service/dispatch_policy.js';
 export * from './service/service.js';
 export * from './backend_server/shared_server.js';
+export * from './backend_server/probe_allowance.js';
 export * from './instance/deployment.js';
 export * from './instance/lapsed_servers.js';
 export * from './instance/news_sources.js';
--- a/packages/balancer/src/instance/news_sources.ts
+++ b/packages/balancer/src/instance/news_sources.ts
@@ -42,6 +42,11 @@
     this.instances = [...instances].sort((a, b) => (a.id < b.id ? -1 : 1));
   }
 
+  /** Known instances. */
+  get size(): number {
+    return this.instances.length;
+  }
+
   /** Takes in that an instance cannot be reached, or fell silent. */
   failed(id: string, now: number): void {
     const last = this.pauses.get(id)?.ms ?? FIRST_PAUSE_MS / 2;
--- a/packages/balancer/src/service/shared_service.test.ts
+++ b/packages/balancer/src/service/shared_service.test.ts
@@ -222,3 +222,16 @@
   t.deepEqual(first.sort(), ['s7', 's8']);
   return undefined;
 });
+
+test('a server that is full for long is not asked again and again', t => {
+  const {service, servers} = serviceOf(['x']);
+  const [server] = servers;
+  // Two run and four wait on two slots: the first one ends in 250 ms or so.
+  server!.observe(
+    {running: 2, waiting: 4, slots: 2, slowness: 1},
+    START,
+    START,
+  );
+  t.is(service.place(seeker(START), START + 105).kind, 'wait');
+  t.is(service.place(seeker(START), START + 140).kind, 'ask');
+});
--- a/packages/balancer/src/service/shared_service.ts
+++ b/packages/balancer/src/service/shared_service.ts
@@ -24,6 +24,8 @@
 const TIE_COST = 0.02;
 /** Age up to which a report that spoke against a server counts, milliseconds. */
 const BAD_NEWS_MS = 100;
+/** The same for a server that is known to be full for longer, milliseconds. */
+const MAX_BAD_NEWS_MS = 300;
 /** Servers that are asked at the same time. */
 const WAVE = 3;
 /** Pause before a server is asked again, milliseconds. */
@@ -196,8 +198,10 @@
   /** Whether a candidate's report is young enough to act upon. */
   private isKnown({server, cost}: Candidate, now: number): boolean {
     if (this.reportsLoad === false) return true;
-    const limitMs = cost <= GOOD_COST ? CURRENT_MS : BAD_NEWS_MS;
-    return server.reportAge(now) <= limitMs;
+    const age = server.reportAge(now);
+    if (cost <= GOOD_COST) return age <= CURRENT_MS;
+    const fullMs = server.fullTimes(now) * this.shortestMs;
+    return age <= Math.max(BAD_NEWS_MS, Math.min(MAX_BAD_NEWS_MS, fullMs));
   }
 
   /** Whether a candidate's report is young enough to count as its state. */
@@ -210,6 +214,11 @@
     return this.usualMs.get(route.name) ?? route.targetMs * ASSUMED_USUAL;
   }
 
+  /** Usual time of the shortest requests, milliseconds; 0 while not known. */
+  private get shortestMs(): number {
+    return this.usualMs.size > 0 ? Math.min(...this.usualMs.values()) : 0;
+  }
+
   private costOf(server: SharedServer, now: number): number {
     const near = server.entry.failureDomain === this.failureDomain;
     const tie = 1 + (TIE_COST * this.random.below(1_024)) / 1_024;
--- a/packages/gateway/src/backend_server/prober.ts
+++ b/packages/gateway/src/backend_server/prober.ts
@@ -2,6 +2,7 @@
 import {
   type Clock,
   NEVER_ABORTED,
+  type ProbeAllowance,
   type SharedServer,
   type SharedService,
 } from '@ragworthall/balancer';
@@ -23,13 +24,18 @@
     private readonly desk: BackendDesk,
     private readonly clock: Clock,
     private readonly log: GatewayLog,
+    private readonly allowance: ProbeAllowance,
   ) {}
 
-  /** Asks a server; resolves when what it said has been taken in. */
-  ask(service: SharedService, server: SharedServer): Promise<void> {
+  /**
+   * Asks a server; resolves when what it said has been taken in. Undefined if
+   * there have been too many questions.
+   */
+  ask(service: SharedService, server: SharedServer): Promise<void> | undefined {
     const {id} = server.entry;
     const running = this.running.get(id);
     if (running) return running;
+    if (!this.allowance.tryTake(this.clock.now())) return undefined;
     const probe = this.probe(service, server).finally(() =>
       this.running.delete(id),
     );
--- a/packages/gateway/src/instance/gateway.ts
+++ b/packages/gateway/src/instance/gateway.ts
@@ -2,6 +2,7 @@
 import {
   type Clock,
   Deployment,
+  ProbeAllowance,
   type Random,
   type RoutingConfiguration,
   SeededRandom,
@@ -63,6 +64,8 @@
   readonly peers: {readonly host: string; readonly port: number};
   readonly fleet: FleetDirectory;
   readonly budget: SendBudgetTerms;
+  /** Bound on the probes of each server in a second, over all instances. */
+  readonly probesPerServerPerS: number;
   /** Time from the signal to stop until the process is ended, milliseconds. */
   readonly graceMs: number;
   readonly wire: WireNames;
@@ -99,7 +102,12 @@
     const {clock, log, metrics, wire, failureDomain, budget} = parts;
     this.deployment = new Deployment({failureDomain, budget, random});
     this.backends = new BackendDesk(wire);
-    const prober = new Prober(this.backends, clock, log);
+    const allowance = new ProbeAllowance(() => ({
+      perServerPerS: parts.probesPerServerPerS,
+      servers: this.deployment.serversTakingWork,
+      instances: exchange.instances,
+    }));
+    const prober = new Prober(this.backends, clock, log, allowance);
     const desk = {
       deployment: this.deployment,
       rooms: new WaitingRooms(prober, clock),
--- a/packages/gateway/src/peer/news_exchange.ts
+++ b/packages/gateway/src/peer/news_exchange.ts
@@ -75,6 +75,11 @@
     return exchange;
   }
 
+  /** Known instances of the fleet; 0 before the list was read. */
+  get instances(): number {
+    return this.sources.size;
+  }
+
   /** Whether other instances rely on what this one reads. */
   get isReader(): boolean {
     return this.listeners.count > 0;
--- a/packages/gateway/src/request/request_run.ts
+++ b/packages/gateway/src/request/request_run.ts
@@ -204,7 +204,7 @@
           break;
         case 'ask': {
           const asked = prober.ask(this.service, server);
-          const answer = await Promise.race([ended, asked]);
+          const answer = asked && (await Promise.race([ended, asked]));
           if (answer === 'ended') return undefined;
           advice = this.advise(server, sentAt);
           if (advice.kind === 'ask') advice = lookAgain(this.usualMs);
--- a/packages/gateway/src/request/waiting_room.ts
+++ b/packages/gateway/src/request/waiting_room.ts
@@ -66,7 +66,9 @@
       }
       const place = this.service.place(seeker, now);
       if (place.kind !== 'ask') return undefined;
-      await this.ask(place.servers);
+      const asked = this.ask(place.servers);
+      if (asked.length === 0) return undefined;
+      await this.firstOf(asked);
     }
     return undefined;
   }
@@ -83,7 +85,8 @@
       this.dismiss(now);
       const toAsk = this.placeAll(now);
       if (this.tickets.length === 0) break;
-      await (toAsk.length > 0 ? this.ask(toAsk) : this.pause());
+      const asked = this.ask(toAsk);
+      await (asked.length > 0 ? this.firstOf(asked) : this.pause());
     }
     this.running = false;
   }
@@ -139,9 +142,15 @@
       .map(({ticket}) => ticket);
   }
 
+  /** Asks servers, as far as there may be questions. */
+  private ask(servers: readonly SharedServer[]): readonly Promise<void>[] {
+    return servers.flatMap(
+      server => this.prober.ask(this.service, server) ?? [],
+    );
+  }
+
   /** Resolves when a server has answered, or after the time of a wave. */
-  private async ask(servers: readonly SharedServer[]): Promise<void> {
-    const asked = servers.map(server => this.prober.ask(this.service, server));
+  private async firstOf(asked: readonly Promise<void>[]): Promise<void> {
     await this.until(WAVE_MS, done => {
       asked.forEach(answer => void answer.then(done));
     });
