Soak the gateway: its processes, its stand-ins and faults from a seed

Bounds of the smallest deployment (two seconds for configurations and leaving servers) replace the product's where the history gives them; the product's own stay as they were. A short run of nine instances is a test.

Not played: clocks that step (the daemon decides by the monotonic clock).

--- /dev/null
+++ b/bench/src/gateway/gateway_run.test.ts
@@ -0,0 +1,17 @@
+import test from 'ava';
+import {reportOf} from '../history/run_report.js';
+import {gatewayRun} from './gateway_run.js';
+
+const SEED = 7;
+const LENGTH_MS = 8_000;
+/** Enough for instances to pass news on to each other. */
+const INSTANCES = 9;
+
+test('the gateway keeps every promise in a run with faults', async t => {
+  const run = await gatewayRun(SEED, LENGTH_MS, INSTANCES);
+  const report = reportOf(run);
+  t.deepEqual(report.violations, []);
+  t.true(report.recovered);
+  t.true(report.requests > 0);
+  t.true((report.endings['answered'] ?? 0) > 0);
+});
--- a/bench/src/history/history.ts
+++ b/bench/src/history/history.ts
@@ -61,6 +61,10 @@
   readonly stops: readonly PlannedStop[];
   /** Whether anything but planned stops was done to instances and servers. */
   readonly hadFaults: boolean;
+  /** Time within which an accepted change is in force, if not the usual one. */
+  readonly inForceLimitMs?: number;
+  /** Time after which a leaving server gets no work, if not the usual one. */
+  readonly leavingLimitMs?: number;
 }
 
 /** A history in which nothing happened. */
--- a/bench/src/history/promises.ts
+++ b/bench/src/history/promises.ts
@@ -58,7 +58,9 @@
     case Promised.AtMostOnce:
       return ranTwice(history);
     case Promised.LeavingGetsNoWork:
-      return history.servers.flatMap(workWhileLeaving);
+      return history.servers.flatMap(server =>
+        workWhileLeaving(server, history.leavingLimitMs ?? LEAVING_LIMIT_MS),
+      );
     case Promised.GracefulStop:
       return cutByStops(history);
     case Promised.ConfigurationHolds:
@@ -134,11 +136,14 @@
     .map(o => `${o.id}: ran ${runs.get(o.id)} times`);
 }
 
-function workWhileLeaving({id, ledger}: ServerRecord): string[] {
+function workWhileLeaving(
+  {id, ledger}: ServerRecord,
+  limitMs: number,
+): string[] {
   const since = ledger.drainingSince;
   if (since === undefined) return [];
   return ledger.workAfterDraining
-    .filter(at => at > since + LEAVING_LIMIT_MS)
+    .filter(at => at > since + limitMs)
     .map(at => `${id}: work ${at - since} ms after it began to leave`);
 }
 
@@ -187,11 +192,12 @@
 }
 
 function behindAccepted(history: History): string[] {
+  const {inForceLimitMs = IN_FORCE_LIMIT_MS} = history;
   return history.revisions
     .filter(sample => sample.serving)
     .flatMap(sample => {
       const due = history.accepted
-        .filter(a => sample.at > a.acceptedAt + IN_FORCE_LIMIT_MS)
+        .filter(a => sample.at > a.acceptedAt + inForceLimitMs)
         .reduce((newest, a) => Math.max(newest, a.revision), 0);
       return sample.revision < due
         ? [
--- a/bench/src/soak.ts
+++ b/bench/src/soak.ts
@@ -2,21 +2,32 @@
  * Long run of the history check: one seeded run after the other until the time
  * is up.
  *
- *     npm run soak -- --seconds N [--seed S] [--run-seconds N] [--json FILE]
+ *     npm run soak -- --seconds N [--front daemon|gateway] [--size N]
+ *                     [--seed S] [--run-seconds N] [--json FILE]
  *
+ * The front is the product's own (daemon) or that of a platform with a store
+ * (gateway); the size is the number of instances of the gateway.
  * The first run has seed S, the next S + 1 and so on. The exit code is 1 if a
  * promise was broken.
  */
 import {writeFile} from 'node:fs/promises';
 import {parseArgs} from 'node:util';
-import {faultyRun} from './history/faulty_run.js';
+import {gatewayRun} from './gateway/gateway_run.js';
+import {type FaultyRun, faultyRun} from './history/faulty_run.js';
 import {reportOf, type RunReport} from './history/run_report.js';
 
+/** What is run. */
+const Front = {Daemon: 'daemon', Gateway: 'gateway'} as const;
+/** Exit code for arguments that cannot be used. */
+const USAGE = 2;
+
 const {values} = parseArgs({
   options: {
     seconds: {type: 'string', default: '60'},
     seed: {type: 'string', default: '1'},
     'run-seconds': {type: 'string', default: '20'},
+    front: {type: 'string', default: Front.Daemon},
+    size: {type: 'string', default: '9'},
     json: {type: 'string'},
   },
 });
@@ -27,17 +38,29 @@
   const reports: RunReport[] = [];
   let seed = Number(values.seed);
   do {
-    const report = reportOf(await faultyRun(seed, lengthMs));
+    const report = reportOf(await runOf(seed, lengthMs));
     print(report);
     reports.push(report);
     if (values.json) await writeFile(values.json, JSON.stringify(reports));
     seed += 1;
   } while (performance.now() < until);
-  const broken = reports.filter(r => r.violations.length > 0);
+  const broken = reports.filter(r => r.violations.length > 0 || !r.recovered);
   console.log(`${reports.length} runs, ${broken.length} broke a promise`);
   process.exitCode = broken.length > 0 ? 1 : 0;
 }
 
+function runOf(seed: number, lengthMs: number): Promise<FaultyRun> {
+  switch (values.front) {
+    case Front.Daemon:
+      return faultyRun(seed, lengthMs);
+    case Front.Gateway:
+      return gatewayRun(seed, lengthMs, Number(values.size));
+    default:
+      console.error(`--front is daemon or gateway, not ${values.front}`);
+      return process.exit(USAGE);
+  }
+}
+
 function print(report: RunReport): void {
   const {seed, requests, endings, changesAccepted, recovered} = report;
   const line = {seed, requests, changesAccepted, recovered, endings};
