Refuse early what is late while others wait that are not

Ruled out: refusing at arrival (the newest have the best chance); refusing late requests when nobody else waits (they are served late, which counts).

Change: while a request waits that can make its target, a late one is refused as not run, with a time to come back.

--- a/packages/balancer/src/service/shared_service.test.ts
+++ b/packages/balancer/src/service/shared_service.test.ts
@@ -238,3 +238,12 @@
   t.is(service.place(seeker(START), START + 105).kind, 'wait');
   t.is(service.place(seeker(START), START + 140).kind, 'ask');
 });
+
+test('a request that is late in any case makes way for those that are not', t => {
+  const {service} = serviceOf(['x']);
+  const late = seeker(START - 250);
+  const inTime = seeker(START);
+  t.true(service.makesWay(late, 1, START));
+  t.false(service.makesWay(late, 0, START));
+  t.false(service.makesWay(inTime, 5, START));
+});
--- a/packages/balancer/src/service/shared_service.ts
+++ b/packages/balancer/src/service/shared_service.ts
@@ -37,6 +37,8 @@
 const SOUND_COST = 5;
 /** Usual times within which a good server answers. */
 const GOOD_TIMES = 1.2;
+/** Requests in time whose waiting shows that there is no room for late ones. */
+const CROWD = 1;
 /** Usual time as a part of the target, while it is not known. */
 const ASSUMED_USUAL = 0.35;
 /** Weight of the newest sample in the usual time. */
@@ -128,6 +130,14 @@
     return doneAt <= arrivedAt + route.targetMs;
   }
 
+  /**
+   * Whether a request that waits should be told to come back rather than wait
+   * on: it is late in any case, and `inTime` others wait that are not.
+   */
+  makesWay(seeker: Seeker, inTime: number, now: number): boolean {
+    return inTime >= CROWD && !this.isReachable(seeker, now);
+  }
+
   /** Takes in how long a request took at a server of this expected cost. */
   took(route: string, ms: number, cost: number): void {
     // Slower servers say more about themselves than about the request.
--- a/packages/gateway/src/request/waiting_room.ts
+++ b/packages/gateway/src/request/waiting_room.ts
@@ -91,10 +91,19 @@
     this.running = false;
   }
 
-  /** Sends off the requests that nobody waits for or that ran out of time. */
+  /**
+   * Sends off the requests that nobody waits for, that ran out of time, or that
+   * are late while the service has no room for those that are not.
+   */
   private dismiss(now: number): void {
+    const {service} = this;
+    const inTime = this.tickets.filter(ticket =>
+      service.isReachable(ticket.seeker, now),
+    ).length;
     const isOver = ({seeker, left}: Ticket) =>
-      left.aborted || now >= seeker.endsAt;
+      left.aborted ||
+      now >= seeker.endsAt ||
+      service.makesWay(seeker, inTime, now);
     this.tickets.filter(isOver).forEach(({resolve}) => resolve(undefined));
     this.tickets = this.tickets.filter(ticket => !isOver(ticket));
   }
