--- a/packages/balancer/src/instance/deployment.test.ts
+++ b/packages/balancer/src/instance/deployment.test.ts
@@ -1,6 +1,7 @@
 /** What an instance believes after news that comes late, twice or not at all. */
 import test from 'ava';
-import {EntryState, type ServerEntry} from '../backend_server/shared_server.js';
+import {serverEntry} from '../backend_server/server_entry.test_support.js';
+import {EntryState} from '../backend_server/shared_server.js';
 import {SeededRandom} from '../link/random.js';
 import type {RoutingConfiguration} from '../route/route.js';
 import {Deployment, NewsOutcome} from './deployment.js';
@@ -21,21 +22,6 @@
   return {version, routes: [], services: [], bounds};
 }
 
-function entry(changes: Partial<ServerEntry> = {}): ServerEntry {
-  return {
-    id: 'x',
-    service: 's',
-    address: '10.0.0.1:80',
-    failureDomain: 'a',
-    slots: 2,
-    state: EntryState.Ready,
-    warmUpMs: 0,
-    startedAt: 1,
-    sequence: 1,
-    ...changes,
-  };
-}
-
 test('a configuration never gives way to an older one', t => {
   const world = deployment();
   t.is(world.configure(configuration(5)), NewsOutcome.Taken);
@@ -54,24 +40,24 @@
 
 test('a late report does not take back that a server leaves', t => {
   const world = deployment();
-  world.putServer(entry({sequence: 4, state: EntryState.Leaving}), NOW);
-  t.is(world.putServer(entry({sequence: 3}), NOW), NewsOutcome.Stale);
+  world.putServer(serverEntry({sequence: 4, state: EntryState.Leaving}), NOW);
+  t.is(world.putServer(serverEntry({sequence: 3}), NOW), NewsOutcome.Stale);
   t.false(world.server('x')?.takesWork);
 });
 
 test('a server that started again under its id is another one', t => {
   const world = deployment();
-  world.putServer(entry({sequence: 9}), NOW);
+  world.putServer(serverEntry({sequence: 9}), NOW);
   const before = world.server('x');
-  world.putServer(entry({startedAt: 2, sequence: 1}), NOW);
+  world.putServer(serverEntry({startedAt: 2, sequence: 1}), NOW);
   t.not(world.server('x'), before);
   t.is(world.service('s').servers.length, 1);
 });
 
 test('a server that changes its service is gone from the old one', t => {
   const world = deployment();
-  world.putServer(entry(), NOW);
-  world.putServer(entry({service: 'other', sequence: 2}), NOW);
+  world.putServer(serverEntry(), NOW);
+  world.putServer(serverEntry({service: 'other', sequence: 2}), NOW);
   t.is(world.service('s').servers.length, 0);
   t.is(world.service('other').servers.length, 1);
 });
--- a/packages/balancer/src/service/shared_service.test.ts
+++ b/packages/balancer/src/service/shared_service.test.ts
@@ -1,11 +1,8 @@
 /** Choices among backend servers that other instances send to as well. */
 import test from 'ava';
 import fc from 'fast-check';
-import {
-  EntryState,
-  type ServerEntry,
-  SharedServer,
-} from '../backend_server/shared_server.js';
+import {serverEntry} from '../backend_server/server_entry.test_support.js';
+import {EntryState, SharedServer} from '../backend_server/shared_server.js';
 import {SeededRandom} from '../link/random.js';
 import type {Route} from '../route/route.js';
 import {SendBudget} from './send_budget.js';
@@ -25,21 +22,6 @@
   parts: [{service: 's', weight: 1}],
 };
 
-function entryOf(id: string, changes: Partial<ServerEntry> = {}): ServerEntry {
-  return {
-    id,
-    service: 's',
-    address: '10.0.0.1:80',
-    failureDomain: 'a',
-    slots: 2,
-    state: EntryState.Ready,
-    warmUpMs: 0,
-    startedAt: 1,
-    sequence: 1,
-    ...changes,
-  };
-}
-
 function serviceOf(ids: readonly string[]): {
   service: SharedService;
   servers: readonly SharedServer[];
@@ -54,7 +36,7 @@
   );
   service.reportsLoad = true;
   service.took(ROUTE.name, USUAL_MS, 1);
-  const servers = ids.map(id => new SharedServer(entryOf(id), START));
+  const servers = ids.map(id => new SharedServer(serverEntry({id: id}), START));
   servers.forEach(server => service.put(server));
   return {service, servers};
 }
@@ -148,7 +130,7 @@
 test('servers that leave or sit at another address get nothing', t => {
   const {service, servers} = serviceOf(['x', 'y']);
   servers.forEach(server => report(server, 0, 1));
-  servers[0]!.update(entryOf('x', {state: EntryState.Leaving}), START);
+  servers[0]!.update(serverEntry({id: 'x', state: EntryState.Leaving}), START);
   servers[1]!.foundMisplaced();
   t.is(service.place(seeker(), START).kind, 'wait');
 });
@@ -166,11 +148,11 @@
 });
 
 test('an entry is news only if it is younger, also after a new start', t => {
-  const known = entryOf('x', {startedAt: 5, sequence: 9});
-  t.true(isNewer(entryOf('x', {startedAt: 5, sequence: 10}), known));
-  t.false(isNewer(entryOf('x', {startedAt: 5, sequence: 8}), known));
-  t.true(isNewer(entryOf('x', {startedAt: 6, sequence: 1}), known));
-  t.false(isNewer(entryOf('x', {startedAt: 4, sequence: 99}), known));
+  const known = serverEntry({id: 'x', startedAt: 5, sequence: 9});
+  t.true(isNewer(serverEntry({id: 'x', startedAt: 5, sequence: 10}), known));
+  t.false(isNewer(serverEntry({id: 'x', startedAt: 5, sequence: 8}), known));
+  t.true(isNewer(serverEntry({id: 'x', startedAt: 6, sequence: 1}), known));
+  t.false(isNewer(serverEntry({id: 'x', startedAt: 4, sequence: 99}), known));
 });
 
 test('repeated sends stay within their share in every window', t => {
--- a/packages/balancer/src/service/survey.test.ts
+++ b/packages/balancer/src/service/survey.test.ts
@@ -1,22 +1,12 @@
 import test from 'ava';
-import {EntryState, SharedServer} from '../backend_server/shared_server.js';
+import {serverEntry} from '../backend_server/server_entry.test_support.js';
+import {SharedServer} from '../backend_server/shared_server.js';
 import {Survey} from './survey.js';
 
 const NONE: ReadonlySet<string> = new Set();
 
 function serverOf(id: string): SharedServer {
-  const entry = {
-    id,
-    service: 's',
-    address: '10.0.0.1:80',
-    failureDomain: 'a',
-    slots: 2,
-    state: EntryState.Ready,
-    warmUpMs: 0,
-    startedAt: 1,
-    sequence: 1,
-  };
-  return new SharedServer(entry, 0);
+  return new SharedServer(serverEntry({id}), 0);
 }
 
 /** A survey of servers whose cost is what they have in flight. */
