End what the soak started when the soak is ended

Cause: ended by SIGTERM it left eight of its processes running (seen when it was ended by hand). Change: instances end with the process that started them.

--- a/bench/src/soak.ts
+++ b/bench/src/soak.ts
@@ -68,4 +68,8 @@
   report.violations.forEach(v => console.log(JSON.stringify(v, null, 1)));
 }
 
+// What was started ends with this process.
+['SIGINT', 'SIGTERM'].forEach(name =>
+  process.once(name, () => process.exit(1)),
+);
 await main();
