--- a/packages/balancer/src/service/shared_service.test.ts
+++ b/packages/balancer/src/service/shared_service.test.ts
@@ -228,4 +228,6 @@
   t.true(service.makesWay(late, 1, START));
   t.false(service.makesWay(late, 0, START));
   t.false(service.makesWay(inTime, 5, START));
+  const sent = {...late, tried: new Set(['y'])};
+  t.false(service.makesWay(sent, 5, START));
 });
--- a/packages/balancer/src/service/shared_service.ts
+++ b/packages/balancer/src/service/shared_service.ts
@@ -132,9 +132,11 @@
 
   /**
    * Whether a request that waits should be told to come back rather than wait
-   * on: it is late in any case, and `inTime` others wait that are not.
+   * on: it is late in any case, and `inTime` others wait that are not. One that
+   * was sent before could not be told that it has not run.
    */
   makesWay(seeker: Seeker, inTime: number, now: number): boolean {
+    if (seeker.tried.size > 0) return false;
     return inTime >= CROWD && !this.isReachable(seeker, now);
   }
 
