--- a/packages/balancer/src/service/shared_service.ts
+++ b/packages/balancer/src/service/shared_service.ts
@@ -84,6 +84,11 @@
     this.budget = new SendBudget(budget);
   }
 
+  /** All its servers, those that leave too. */
+  get servers(): readonly SharedServer[] {
+    return [...this.byId.values()];
+  }
+
   /** Adds or replaces a server. */
   put(server: SharedServer): void {
     this.byId.set(server.entry.id, server);
