Serve what was being read when a planned stop closes connections

Cause: at the end of a stop, a connection with a half-read head was ended like an idle one, and a request that crossed the close of an idle connection was still run although nobody could read its answer. An error in the task of one request (an answer that cannot be written) was an unhandled rejection, which ends the process.

Change: connections in use are left to their requests, also while these are being received; a connection that is being closed takes no request. Errors of a request, of a queue and of long tasks are logged (task_failed) and end that request, the placement of those that wait, or restart the task. 7 % of the grace time, not 3 %, is left to end the process.

Of caller_server.test.ts both hung before, on the unhandled rejection.

--- a/packages/gateway/src/caller/caller_connection.ts
+++ b/packages/gateway/src/caller/caller_connection.ts
@@ -9,6 +9,8 @@
   private readonly closeController = new AbortController();
   private readonly openResponses = new Set<ServerResponse>();
   private closeAnnounced = false;
+  /** Bytes that had been read when the last request was answered. */
+  private bytesReadBefore = 0;
 
   constructor(
     private readonly socket: Socket,
@@ -34,11 +36,22 @@
     return this.openResponses.size > 0;
   }
 
-  /** Registers a request; returns false if `connection: close` has been sent. */
+  /** Whether a request is in flight or is being received. */
+  get isInUse(): boolean {
+    return this.isBusy || this.socket.bytesRead > this.bytesReadBefore;
+  }
+
+  /**
+   * Registers a request; returns false if the connection is being closed, so that
+   * the request would get no answer.
+   */
   accept(res: ServerResponse): boolean {
     if (this.closeAnnounced) return false;
     this.openResponses.add(res);
-    res.once('close', () => this.openResponses.delete(res));
+    res.once('close', () => {
+      this.openResponses.delete(res);
+      this.bytesReadBefore = this.socket.bytesRead;
+    });
     return true;
   }
 
@@ -53,9 +66,14 @@
     return isLast;
   }
 
-  /** Closes the connection if no request is in flight. */
+  /**
+   * Closes the connection unless it is in use. A request that arrives while the
+   * close is on its way is not served: its caller could not read the answer.
+   */
   closeIdle(): void {
-    if (!this.isBusy) this.socket.end();
+    if (this.isInUse) return;
+    this.closeAnnounced = true;
+    this.socket.end();
   }
 
   /** Closes the connection after bytes that could not be parsed as a request. */
--- /dev/null
+++ b/packages/gateway/src/caller/caller_server.test.ts
@@ -0,0 +1,64 @@
+/** An error in the task of one request ends that request alone. */
+import test from 'ava';
+import {request} from 'undici';
+import type {CallerRequest, RequestEnd} from '../request/caller_request.js';
+import type {WireFormat} from '../platform/wire_format.js';
+import {CallerServer} from './caller_server.js';
+
+const WIRE: WireFormat = {
+  headers: {
+    requestId: 'x-id',
+    timeLeft: 'x-left',
+    expectedServer: 'x-server',
+    serverId: 'x-server-id',
+    notRun: 'x-not-run',
+    signature: 'x-signature',
+    load: 'x-load',
+  },
+  parseLoad: () => undefined,
+};
+
+/** Answers with the status that the path names; `/throws` fails. */
+async function handle({target}: CallerRequest): Promise<RequestEnd> {
+  await Promise.resolve();
+  if (target === '/throws') throw new Error('unexpected');
+  const status = Number(target.slice(1));
+  const body = Buffer.from('done');
+  return {kind: 'answered', answer: {status, headers: ['x-a', 'b'], body}};
+}
+
+async function serve(t: {teardown(end: () => void): void}) {
+  const errors: unknown[] = [];
+  const clock = {now: () => performance.now()};
+  const server = new CallerServer(handle, WIRE, clock, err => errors.push(err));
+  const host = `127.88.${process.pid % 250}.${(process.pid >> 8) % 250}`;
+  await server.listen(18_641, host);
+  t.teardown(() => server.stopListening());
+  const call = async (path: string) => {
+    const headers = {'x-id': 'a', connection: 'close'};
+    const res = await request(`http://${host}:18641${path}`, {headers});
+    return {status: res.statusCode, body: await res.body.text()};
+  };
+  return {call, errors};
+}
+
+test.serial(
+  'an error while a request is handled ends it as unknown',
+  async t => {
+    const {call, errors} = await serve(t);
+    t.is((await call('/throws')).status, 502);
+    t.is(errors.length, 1);
+    t.deepEqual(await call('/200'), {status: 200, body: 'done'});
+  },
+);
+
+test.serial(
+  'an answer that cannot be written ends its request alone',
+  async t => {
+    const {call, errors} = await serve(t);
+    // Not a status code of HTTP: writing the head throws.
+    t.is((await call('/99')).status, 502);
+    t.is(errors.length, 1);
+    t.deepEqual(await call('/200'), {status: 200, body: 'done'});
+  },
+);
--- a/packages/gateway/src/caller/caller_server.ts
+++ b/packages/gateway/src/caller/caller_server.ts
@@ -29,9 +29,15 @@
   'expect',
 ]);
 
+/** Status codes whose answers have neither a body nor a length. */
+const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
+
 /** Handles a request and resolves with its end. */
 export type RequestHandler = (request: CallerRequest) => Promise<RequestEnd>;
 
+/** Receives the errors that ended the task of one request. */
+export type ErrorListener = (err: unknown) => void;
+
 /** Serves callers on one address. */
 export class CallerServer {
   private readonly server: Server;
@@ -43,6 +49,7 @@
     private readonly handler: RequestHandler,
     private readonly wire: WireFormat,
     private readonly clock: Clock,
+    private readonly onError: ErrorListener,
   ) {
     this.server = createServer({
       maxHeaderSize: DEFAULT_LIMITS.headerBytes,
@@ -54,7 +61,11 @@
     this.server.maxHeadersCount = 0;
     this.server
       .on('connection', socket => this.accept(socket))
-      .on('request', (req, res) => void this.serve(req, res))
+      .on(
+        'request',
+        (req, res) =>
+          void this.serve(req, res).catch(err => this.fail(res, err)),
+      )
       .on('clientError', (err: NodeJS.ErrnoException, socket) =>
         this.rejectMalformed(err, socket as Socket),
       );
@@ -68,6 +79,11 @@
     );
   }
 
+  /** Whether a request is in flight or is being received. */
+  get isInUse(): boolean {
+    return [...this.connections.values()].some(({isInUse}) => isInUse);
+  }
+
   /** Starts to listen; rejects if the address is in use. */
   async listen(port: number, host: string): Promise<void> {
     await new Promise<void>((resolve, reject) => {
@@ -137,6 +153,16 @@
     if (!connection.closed.aborted) this.reply(connection, res, request, end);
   }
 
+  /**
+   * Ends a request after an error in its task. A server may have run it, and a
+   * part of its answer may have been written.
+   */
+  private fail(res: ServerResponse, err: unknown): void {
+    this.onError(err);
+    if (res.headersSent) res.destroy();
+    else res.writeHead(502, {connection: 'close'}).end('internal error\n');
+  }
+
   private parseRequest(
     req: IncomingMessage,
     body: Uint8Array,
@@ -184,6 +210,9 @@
         for (let i = 0; i + 1 < kept.length; i += 2) {
           res.appendHeader(kept[i]!, kept[i + 1]!);
         }
+        if (!STATUSES_WITHOUT_BODY.has(status) && request.method !== 'HEAD') {
+          res.setHeader('content-length', body.byteLength);
+        }
         res.writeHead(status).end(body);
         return;
       }
--- a/packages/gateway/src/instance/gateway.ts
+++ b/packages/gateway/src/instance/gateway.ts
@@ -24,14 +24,18 @@
 import {runRequest} from '../request/request_run.js';
 import {RequestQueues} from '../request/request_queue.js';
 import {ConfigurationSink} from './configuration_sink.js';
+import {pause} from './pause.js';
 import {RegistrySink} from './registry_sink.js';
 
 /** Time for which callers may cache an address answer, milliseconds. */
 const ADDRESS_TTL_MS = 1_000;
 /** Callers are assumed to cache an address answer for up to this multiple of its TTL. */
 const ADDRESS_TTL_OVERRUN = 3;
-/** Fraction of the grace period after which requests in flight are aborted. */
-const GRACE_FRACTION = 0.97;
+/**
+ * Fraction of the grace period after which requests in flight are aborted; the
+ * rest is for a slow process to end by itself.
+ */
+const GRACE_FRACTION = 0.93;
 /** Long-poll time while other instances listen, milliseconds; see `TablePosition`. */
 const RELAY_LONG_POLL_MS = 1_000;
 /**
@@ -52,6 +56,8 @@
   relayLongPollMs: RELAY_LONG_POLL_MS,
   batchMs: 700,
 };
+/** Pause before a task that an error ended runs again, milliseconds. */
+const TASK_RESTART_MS = 1_000;
 /** Interval at which the requests in flight are checked while draining, milliseconds. */
 const DRAIN_POLL_MS = 20;
 
@@ -113,7 +119,9 @@
     const prober = new Prober(this.backendClient, clock, log, probeRateLimiter);
     const context = {
       deployment: this.deployment,
-      queues: new RequestQueues(prober, clock),
+      queues: new RequestQueues(prober, clock, err =>
+        log.taskFailed('request_queue', err),
+      ),
       prober,
       backendClient: this.backendClient,
       clock,
@@ -124,6 +132,7 @@
       request => runRequest(context, request),
       wire,
       clock,
+      err => log.taskFailed('request', err),
     );
     metrics.registerGauges({
       configurationVersion: () =>
@@ -187,12 +196,12 @@
     log.lifecycle('stopping', {graceMs});
     await delay(ADDRESS_TTL_MS * ADDRESS_TTL_OVERRUN);
     this.callerServer.stopListening();
-    while (this.callerServer.inFlight > 0 && clock.now() < until) {
+    while (this.callerServer.isInUse && clock.now() < until) {
       await delay(DRAIN_POLL_MS);
     }
-    const drained = this.callerServer.inFlight === 0;
-    log.lifecycle('stopped', {drained});
-    return drained;
+    const {inFlight} = this.callerServer;
+    log.lifecycle('stopped', {drained: inFlight === 0, inFlight});
+    return inFlight === 0;
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -230,10 +239,31 @@
     ];
     const {signal} = this.tasks;
     const tasks = [...followers, this.newsExchange].map(task =>
-      task.run(signal),
+      this.keepRunning(task, signal),
     );
     this.running = Promise.all(tasks);
   }
+
+  /** Runs a task again after an error that ended it. */
+  private async keepRunning(
+    task: LongTask,
+    signal: AbortSignal,
+  ): Promise<void> {
+    while (!signal.aborted) {
+      try {
+        await task.run(signal);
+      } catch (err) {
+        this.options.log.taskFailed(task.constructor.name, err);
+        await pause(TASK_RESTART_MS, signal);
+      }
+    }
+  }
+}
+
+/** A task that runs as long as the instance. */
+interface LongTask {
+  /** Runs until the signal is aborted. */
+  run(signal: AbortSignal): Promise<void>;
 }
 
 /** Returns a seed that differs between instances. */
--- a/packages/gateway/src/log/gateway_log.ts
+++ b/packages/gateway/src/log/gateway_log.ts
@@ -56,6 +56,12 @@
     this.logger.warn(kind, {kind, ...fields});
   }
 
+  /** Logs an error that ended the task of one request, connection or loop. */
+  taskFailed(task: string, err: unknown): void {
+    const detail = err instanceof Error ? (err.stack ?? err.message) : err;
+    this.stateChange('task_failed', {task, detail: String(detail)});
+  }
+
   private write(
     rate: LineRateLimiter,
     kind: string,
--- a/packages/gateway/src/request/request_queue.ts
+++ b/packages/gateway/src/request/request_queue.ts
@@ -36,6 +36,7 @@
     private readonly service: SharedService,
     private readonly prober: Prober,
     private readonly clock: Clock,
+    private readonly onError: (err: unknown) => void,
   ) {}
 
   /** Number of waiting requests. */
@@ -54,7 +55,7 @@
     return new Promise(resolve => {
       this.requests.push({placement, callerGone, resolve});
       if (this.running) this.wake();
-      else void this.run();
+      else void this.run().catch(err => this.fail(err));
     });
   }
 
@@ -81,6 +82,13 @@
     this.wake();
   }
 
+  /** Ends the requests that wait after an error, as not placed. */
+  private fail(err: unknown): void {
+    this.running = false;
+    this.requests.splice(0).forEach(({resolve}) => resolve(undefined));
+    this.onError(err);
+  }
+
   private async run(): Promise<void> {
     this.running = true;
     while (this.requests.length > 0) {
@@ -200,13 +208,19 @@
   constructor(
     private readonly prober: Prober,
     private readonly clock: Clock,
+    private readonly onError: (err: unknown) => void,
   ) {}
 
   /** The queue of a service. */
   of(service: SharedService): RequestQueue {
     const known = this.queues.get(service);
     if (known) return known;
-    const queue = new RequestQueue(service, this.prober, this.clock);
+    const queue = new RequestQueue(
+      service,
+      this.prober,
+      this.clock,
+      this.onError,
+    );
     this.queues.set(service, queue);
     return queue;
   }
