Decide about waiting requests in one place, by their deadlines

Servers were filled to their last slot, though four of four slots at 1/1.6 finish less than three at full speed. A late request made way for any other, also a less urgent one. Retry-After was 150 ms whatever the load.

Change: placement_round.ts decides about all requests that wait for a service: those without time for an answer are refused at once, late ones yield to those of their rank or above, more urgent ones go first. Saturation leaves slots free that would lower the throughput, and measures whether they do. retry_advice.ts: the time until the waiting requests are served, spread, with time left for an answer. The extra is divided by the known instances, 1/512 while unknown; an instance that was restarted has none for one window.

--- a/bench/src/survey_cost.ts
+++ b/bench/src/survey_cost.ts
@@ -4,6 +4,7 @@
  * Run: `node bench/dist/survey_cost.js`.
  */
 import {
+  RepeatBudget,
   EntryState,
   type PlacementRequest,
   SeededRandom,
@@ -43,7 +44,13 @@
 /** Returns a service whose servers are all full; some of them are slow. */
 function fullService(size: number): SharedService {
   const random = new SeededRandom(1);
-  const service = new SharedService('s', 'a', random, BUDGET, undefined);
+  const service = new SharedService(
+    's',
+    'a',
+    random,
+    new RepeatBudget(BUDGET, {instanceCount: () => 1, restartedAt: -Infinity}),
+    undefined,
+  );
   service.reportsLoad = true;
   for (let i = 0; i < size; i++) {
     const entry = {
--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -49,6 +49,8 @@
 export * from './route/route_table.js';
 export * from './route/weighted_split.js';
 export * from './service/hedge.js';
+export * from './service/placement_round.js';
 export * from './service/repeat_budget.js';
+export * from './service/retry_advice.js';
 export * from './service/shared_service.js';
 export * from './service/server_snapshot.js';
--- a/packages/balancer/src/instance/deployment.test.ts
+++ b/packages/balancer/src/instance/deployment.test.ts
@@ -11,6 +11,7 @@
 
 function createDeployment(): Deployment {
   return new Deployment({
+    fleet: {instanceCount: () => 1, restartedAt: -Infinity},
     failureDomain: 'a',
     budget: {ratio: 0.2, extra: 1, windowMs: 10_000},
     random: new SeededRandom(1),
--- a/packages/balancer/src/instance/deployment.ts
+++ b/packages/balancer/src/instance/deployment.ts
@@ -9,7 +9,11 @@
 import type {Random} from '../link/random.js';
 import type {RoutingConfiguration} from '../route/route.js';
 import {RouteTable} from '../route/route_table.js';
-import type {RepeatBudgetLimits} from '../service/repeat_budget.js';
+import {
+  type FleetView,
+  RepeatBudget,
+  type RepeatBudgetLimits,
+} from '../service/repeat_budget.js';
 import {isAtLeastAsRecent, SharedService} from '../service/shared_service.js';
 
 /** Options of a deployment. */
@@ -17,6 +21,7 @@
   /** Failure domain of this instance. */
   readonly failureDomain: string;
   readonly budget: RepeatBudgetLimits;
+  readonly fleet: FleetView;
   readonly random: Random;
 }
 
@@ -69,13 +74,13 @@
   service(name: string): SharedService {
     const known = this.services.get(name);
     if (known) return known;
-    const {failureDomain, random, budget} = this.options;
+    const {failureDomain, random, budget, fleet} = this.options;
     const settings = this.settingsOf(name);
     const service = new SharedService(
       name,
       failureDomain,
       random,
-      budget,
+      new RepeatBudget(budget, fleet),
       settings,
     );
     this.services.set(name, service);
--- /dev/null
+++ b/packages/balancer/src/service/placement_round.test.ts
@@ -0,0 +1,155 @@
+/** Tests of what callers get when more requests come than servers can answer. */
+import test from 'ava';
+import type {Route} from '../route/route.js';
+import {serverEntry} from '../backend_server/server_entry.test_support.js';
+import {SharedServer} from '../backend_server/shared_server.js';
+import {SeededRandom} from '../link/random.js';
+import {RepeatBudget} from './repeat_budget.js';
+import {
+  type PlayedOutcome,
+  type PlayedRoute,
+  playOverload,
+} from './overload_play.test_support.js';
+import {DropReason, placementRound} from './placement_round.js';
+import {SharedService} from './shared_service.js';
+
+const START = 10_000;
+const BASELINE_MS = 100;
+
+function route(name: string, urgency: number, targetMs = 400): Route {
+  return {
+    name,
+    host: 'a.example',
+    prefix: `/${name}/`,
+    idempotent: false,
+    timeoutMs: 4_000,
+    targetMs,
+    urgency,
+    maxAttempts: 1,
+    weightedServices: [{service: 's', weight: 1}],
+  };
+}
+
+const URGENT = route('urgent', 0);
+const NORMAL = route('normal', 1);
+
+/** A service with one server of one slot, on which `running` requests run. */
+function serviceWithLoad(running: number): SharedService {
+  const budget = {ratio: 0, extra: 0, windowMs: 10_000};
+  const random = new SeededRandom(1);
+  const service = new SharedService(
+    's',
+    'a',
+    random,
+    new RepeatBudget(budget, {instanceCount: () => 1, restartedAt: -Infinity}),
+    undefined,
+  );
+  service.reportsLoad = true;
+  const server = new SharedServer(serverEntry({id: 'x', slots: 1}), START);
+  const report = {running, waiting: 0, slots: 1, slowness: 1};
+  server.recordLoadReport(report, START, START);
+  service.put(server);
+  [URGENT, NORMAL].forEach(({name}) =>
+    service.recordDuration(name, BASELINE_MS, 1),
+  );
+  return service;
+}
+
+function waiting(of: Route, waitedMs: number, leftMs = 2_000) {
+  const placement = {
+    route: of,
+    arrivedAt: START - waitedMs,
+    endsAt: START + leftMs,
+    tried: new Set<string>(),
+  };
+  return {placement, isAbandoned: false};
+}
+
+test('a request without time for an answer is refused at once, also if alone', t => {
+  const {dropped} = placementRound(
+    serviceWithLoad(1),
+    [waiting(URGENT, 0, BASELINE_MS - 10)],
+    START,
+  );
+  t.deepEqual(
+    dropped.map(({why}) => why),
+    [DropReason.NoTime],
+  );
+});
+
+test('a late request is refused for one in time of its rank or above', t => {
+  const late = waiting(NORMAL, 350);
+  [waiting(NORMAL, 0), waiting(URGENT, 0)].forEach(timely => {
+    const {dropped} = placementRound(serviceWithLoad(1), [late, timely], START);
+    t.deepEqual(dropped, [{request: late, why: DropReason.NoCapacity}]);
+  });
+});
+
+test('a late urgent request goes before a less urgent one that is in time', t => {
+  const late = waiting(URGENT, 350);
+  const timely = waiting(NORMAL, 0);
+  const busy = placementRound(serviceWithLoad(1), [timely, late], START);
+  t.deepEqual(busy.dropped, []);
+  const free = placementRound(serviceWithLoad(0), [timely, late], START);
+  t.is(free.placed[0]?.request, late);
+  t.deepEqual(free.waiting, [timely]);
+});
+
+/** Share of the asked requests. */
+function share(outcome: PlayedOutcome, count: keyof PlayedOutcome): number {
+  return outcome[count] / Math.max(1, outcome.asked);
+}
+
+const SERVERS = {servers: 10, slots: 4};
+
+/** Callers who wait little longer than the target, at twice the capacity. */
+const IMPATIENT: PlayedRoute = {
+  route: route('impatient', 1, 800),
+  workMs: 160,
+  patienceMs: 1_200,
+  perSecond: 200,
+};
+/**
+ * Requests a second that the servers finish if three of their four slots are
+ * used: three quarters of them are not slow, and a request meets slowness of 1.5
+ * on its way.
+ */
+const CAPACITY_PER_S = (10 * 3 * 0.75) / (0.16 * 1.5);
+
+test('under overload servers finish what they are sent', t => {
+  [1, 2, 3].forEach(seed => {
+    const played = playOverload([IMPATIENT], {...SERVERS, ms: 20_000, seed});
+    const outcome = played.get('impatient')!;
+    const info = JSON.stringify(outcome);
+    // Slots are not spent on requests whose deadline comes first: only servers
+    // that slow down later leave some unfinished.
+    t.true(share(outcome, 'unfinished') < 0.05, info);
+    t.true(outcome.inTarget >= 0.9 * CAPACITY_PER_S * 20, info);
+  });
+});
+
+test('under overload the more urgent of two routes is served better', t => {
+  [1, 2, 3].forEach(seed => {
+    const shared = {workMs: 160, patienceMs: 3_000, perSecond: 95};
+    const played = playOverload(
+      [
+        {...shared, route: route('urgent', 0, 800)},
+        {...shared, route: route('normal', 1, 800)},
+      ],
+      {...SERVERS, ms: 20_000, seed},
+    );
+    const [urgent, normal] = [played.get('urgent')!, played.get('normal')!];
+    const info = JSON.stringify([urgent, normal]);
+    t.true(share(urgent, 'inTarget') > 0.85, info);
+    t.true(share(urgent, 'inTarget') > share(normal, 'inTarget'), info);
+    t.true(share(urgent, 'refused') < share(normal, 'refused'), info);
+  });
+});
+
+test('without overload nothing is refused', t => {
+  const light = {...IMPATIENT, perSecond: 50};
+  const played = playOverload([light], {...SERVERS, ms: 20_000, seed: 1});
+  const outcome = played.get('impatient')!;
+  t.is(outcome.refused, 0, JSON.stringify(outcome));
+  t.true(share(outcome, 'inTarget') > 0.97, JSON.stringify(outcome));
+});
--- a/packages/balancer/src/service/shared_service.ts
+++ b/packages/balancer/src/service/shared_service.ts
@@ -8,7 +8,8 @@
   type ServerEntry,
   SharedServer,
 } from '../backend_server/shared_server.js';
-import {RepeatBudget, type RepeatBudgetLimits} from './repeat_budget.js';
+import {isNearlyFull, Saturation} from './saturation.js';
+import type {RepeatBudget} from './repeat_budget.js';
 import {
   type Candidate,
   ServerSnapshot,
@@ -58,11 +59,8 @@
 const MAX_ACCEPTABLE_COST = 5;
 /** Duration of a request on a good server, as a multiple of the baseline. */
 const GOOD_LATENCY_FACTOR = 1.2;
-/**
- * Number of waiting requests that can still meet their targets from which late
- * requests are shed.
- */
-const MIN_TIMELY_WAITING = 1;
+/** Shortest duration of a request, as a multiple of the baseline. */
+const SHORTEST_LATENCY_FACTOR = 1;
 /**
  * Baseline assumed before the first measurement, as a fraction of the target.
  */
@@ -91,9 +89,20 @@
   /** No suitable server is available now. */
   | {readonly kind: 'wait'};
 
+/** Servers that a request may use if it can no longer meet its target. */
+export const LateUse = {
+  /** Those without work; the others are left to requests that are in time. */
+  IdleServers: 'idle_servers',
+  /** All that have a free slot. */
+  FreeSlots: 'free_slots',
+} as const;
+
+/** One of the values of {@link LateUse}. */
+export type LateUse = (typeof LateUse)[keyof typeof LateUse];
+
 /** The backend servers of one service, as known to this instance. */
 export class SharedService {
-  readonly budget: RepeatBudget;
+  private readonly saturation = new Saturation();
   /**
    * Whether the servers report their load; undefined while this is not known.
    */
@@ -106,17 +115,22 @@
     readonly name: string,
     private readonly failureDomain: string,
     private readonly random: Random,
-    budget: RepeatBudgetLimits,
+    readonly budget: RepeatBudget,
     public settings: ServiceSettings | undefined,
-  ) {
-    this.budget = new RepeatBudget(budget);
-  }
+  ) {}
 
   /** All servers, including those that are leaving. */
   get servers(): readonly SharedServer[] {
     return [...this.byId.values()];
   }
 
+  /** Slots of all servers that accept work. */
+  get slots(): number {
+    return [...this.byId.values()]
+      .filter(server => server.acceptsRequests)
+      .reduce((sum, server) => sum + server.slots, 0);
+  }
+
   /** Adds or replaces a server. */
   put(server: SharedServer): void {
     this.byId.set(server.entry.id, server);
@@ -143,16 +157,18 @@
     request: PlacementRequest,
     now: number,
     snapshot = this.snapshot(now),
+    lateUse: LateUse = LateUse.IdleServers,
   ): PlacementDecision {
     const best = snapshot.best(request.tried);
     if (!best) return WAIT;
-    if (best.isCurrent && best.cost <= MAX_GOOD_COST) return sendTo(best);
+    if (this.isGood(best, request, now)) return sendTo(best);
     const toAsk = snapshot.serversToAsk(request.tried);
     if (toAsk.length > 0) return {kind: 'ask', servers: toAsk};
     return this.placeWithoutGoodServer(
       request,
       snapshot.withKnownState(request.tried),
       now,
+      lateUse,
     );
   }
 
@@ -164,25 +180,43 @@
     now: number,
   ): Candidate | undefined {
     const best = this.snapshot(now).best(request.tried);
-    return best?.isCurrent && best.cost <= MAX_GOOD_COST ? best : undefined;
+    return best && this.isGood(best, request, now) ? best : undefined;
   }
 
-  /** Whether a good server could still answer the request within its target. */
+  /**
+   * Whether a good server could still answer the request within its target, and
+   * before its answer is no longer needed.
+   */
   canMeetTarget(request: PlacementRequest, now: number): boolean {
     const {route, arrivedAt} = request;
     const doneAt = now + GOOD_LATENCY_FACTOR * this.baselineMs(route);
-    return doneAt <= arrivedAt + route.targetMs;
+    return (
+      doneAt <= arrivedAt + route.targetMs &&
+      this.fits(request, GOOD_LATENCY_FACTOR, now)
+    );
   }
 
   /**
-   * Whether to shed a waiting request instead of letting it wait: it can no
-   * longer meet its target, while `inTime` other waiting requests can. A
-   * request that was sent before is not shed, because it may have been
-   * executed.
+   * Whether any server could still answer the request before its answer is no
+   * longer needed. One that cannot be answered would take a slot for nothing.
    */
-  shouldShed(request: PlacementRequest, inTime: number, now: number): boolean {
-    if (request.tried.size > 0) return false;
-    return inTime >= MIN_TIMELY_WAITING && !this.canMeetTarget(request, now);
+  canBeServed(request: PlacementRequest, now: number): boolean {
+    return this.fits(request, SHORTEST_LATENCY_FACTOR, now);
+  }
+
+  /** Records the duration of an answered request, as sent to this candidate. */
+  recordAnswer(route: string, ms: number, candidate: Candidate): void {
+    const {server, cost, load, latencyFactor} = candidate;
+    const usualMs = this.baselines.get(route);
+    const {slowdown} = this.saturation;
+    const isSample =
+      isNearlyFull(load, server.slots) &&
+      load < server.slots &&
+      latencyFactor / slowdown <= MAX_GOOD_COST;
+    if (usualMs !== undefined && isSample) {
+      this.saturation.recordNearlyFull(ms / usualMs);
+    }
+    this.recordDuration(route, ms, cost);
   }
 
   /** Records the duration of a request on a server with this expected cost. */
@@ -196,33 +230,70 @@
     this.baselines.set(route, baseline);
   }
 
+  /** Whether a server is good now, and fast enough for the request. */
+  private isGood(
+    {isCurrent, cost, latencyFactor}: ServerEstimate,
+    request: PlacementRequest,
+    now: number,
+  ): boolean {
+    if (!isCurrent || cost > MAX_GOOD_COST) return false;
+    return this.fits(request, latencyFactor, now);
+  }
+
+  /**
+   * Whether a request that takes this multiple of the measured baseline ends
+   * before its answer is no longer needed; true while nothing was measured.
+   */
+  private fits(
+    {route, endsAt}: PlacementRequest,
+    latencyFactor: number,
+    now: number,
+  ): boolean {
+    return (
+      now + latencyFactor * (this.baselines.get(route.name) ?? 0) <= endsAt
+    );
+  }
+
   /** Decides where to send a request if no server is good. */
   private placeWithoutGoodServer(
     request: PlacementRequest,
     known: readonly ServerEstimate[],
     now: number,
+    lateUse: LateUse,
   ): PlacementDecision {
-    const {route, arrivedAt, endsAt} = request;
+    const {route, arrivedAt} = request;
     const baselineMs = this.baselineMs(route);
-    const dueAt = arrivedAt + route.targetMs * USABLE_TARGET_FRACTION;
-    const timely = known.find(
-      ({server, cost, load, latencyFactor}) =>
-        cost <= MAX_ACCEPTABLE_COST &&
-        load < server.slots &&
-        now + latencyFactor * baselineMs <= dueAt,
-    );
-    if (timely) return sendTo(timely);
+    const targetAt = arrivedAt + route.targetMs * USABLE_TARGET_FRACTION;
+    const freeSlotBy = (dueAt: number) =>
+      known.find(
+        ({server, cost, load, latencyFactor}) =>
+          cost <= MAX_ACCEPTABLE_COST &&
+          this.saturation.mayAdd(load, server.slots) &&
+          now + latencyFactor * baselineMs <= dueAt &&
+          this.fits(request, latencyFactor, now),
+      );
+    const timely = freeSlotBy(targetAt);
+    if (timely) return this.useFreeSlot(timely);
     if (this.canMeetTarget(request, now)) return WAIT;
+    if (lateUse === LateUse.FreeSlots) {
+      const free = freeSlotBy(Infinity);
+      return free ? this.useFreeSlot(free) : WAIT;
+    }
     // The target is out of reach: use only idle servers, the most expensive
     // first. The others are left to requests that can still meet their targets.
     // Otherwise an overload would end up making every request late.
     const late = known.findLast(
       ({load, latencyFactor}) =>
-        load < IDLE_LOAD && now + latencyFactor * baselineMs <= endsAt,
+        load < IDLE_LOAD && this.fits(request, latencyFactor, now),
     );
     return late ? sendTo(late) : WAIT;
   }
 
+  private useFreeSlot(candidate: Candidate): PlacementDecision {
+    this.saturation.recordPlacement();
+    return sendTo(candidate);
+  }
+
   /** Estimates cost and load of a server. */
   private estimate(
     server: SharedServer,
@@ -231,7 +302,11 @@
   ): ServerEstimate {
     const age = server.reportAge(now);
     const load = server.loadAt(now);
-    const latencyFactor = server.expectedLatencyFactor(now, load);
+    const latencyFactor = server.expectedLatencyFactor(
+      now,
+      load,
+      this.saturation.slowdown,
+    );
     const cost =
       server.expectedCost(now, latencyFactor) *
       this.loadIndependentFactor(server, now);
@@ -283,8 +358,8 @@
 
 const WAIT: PlacementDecision = {kind: 'wait'};
 
-function sendTo({server, cost}: Candidate): PlacementDecision {
-  return {kind: 'send', candidate: {server, cost}};
+function sendTo(candidate: Candidate): PlacementDecision {
+  return {kind: 'send', candidate};
 }
 
 /**
--- a/packages/gateway/src/instance/gateway.ts
+++ b/packages/gateway/src/instance/gateway.ts
@@ -71,6 +71,8 @@
   readonly peers: {readonly host: string; readonly port: number};
   readonly fleet: FleetDirectory;
   readonly budget: RepeatBudgetLimits;
+  /** Whether the whole fleet starts for the first time. */
+  readonly isFirstStart: boolean;
   /** Limit on the probes of each server per second, over all instances. */
   readonly probesPerServerPerS: number;
   /** Limits on the answers of backend servers that are being received. */
@@ -109,7 +111,15 @@
     random: Random,
   ) {
     const {clock, log, metrics, wire, failureDomain, budget} = options;
-    this.deployment = new Deployment({failureDomain, budget, random});
+    this.deployment = new Deployment({
+      failureDomain,
+      budget,
+      fleet: {
+        instanceCount: () => newsExchange.instanceCount,
+        restartedAt: options.isFirstStart ? -Infinity : clock.now(),
+      },
+      random,
+    });
     this.backendClient = new BackendClient(wire, options.answerLimits);
     const probeRateLimiter = new ProbeRateLimiter(() => ({
       perServerPerS: options.probesPerServerPerS,
@@ -125,6 +135,8 @@
       prober,
       backendClient: this.backendClient,
       clock,
+      random,
+      instanceCount: () => newsExchange.instanceCount,
       log,
       metrics,
     };
--- a/packages/gateway/src/request/request_run.ts
+++ b/packages/gateway/src/request/request_run.ts
@@ -4,12 +4,16 @@
   type Candidate,
   type Clock,
   type Deployment,
+  drainTimeMs,
+  DropReason,
   type HedgeAdvice,
   checkLater,
   type MatchedRoute,
   NEVER_ABORTED,
   type Route,
   type PlacementRequest,
+  type Random,
+  retryDelayMs,
   type SharedServer,
   type SharedService,
 } from '@ragworthall/balancer';
@@ -31,8 +35,8 @@
 const MIN_LEFT_MS = 10;
 /** Time for which an answer is awaited after the deadline, milliseconds. */
 const ANSWER_MARGIN_MS = 60;
-/** Delay after which a refused caller may retry, milliseconds. */
-const RETRY_AFTER_MS = 150;
+/** Delay after which a caller refused by a starting instance may retry, milliseconds. */
+const STARTING_RETRY_MS = 150;
 /** Longest idle time of a connection that is reused for a non-idempotent request, milliseconds. */
 const NON_IDEMPOTENT_IDLE_MS = 2_000;
 /** Longest idle time of a connection that is reused for an idempotent request, milliseconds. */
@@ -53,6 +57,9 @@
   readonly prober: Prober;
   readonly backendClient: BackendClient;
   readonly clock: Clock;
+  readonly random: Random;
+  /** Number of known instances; 0 while it is unknown. */
+  readonly instanceCount: () => number;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
 }
@@ -68,7 +75,11 @@
   const requestLog = context.log.request(request.id);
   const end = deployment.isKnown
     ? await runMatched(context, request, matched, requestLog)
-    : refused(Failure.Starting);
+    : {
+        kind: 'refused' as const,
+        reason: Failure.Starting,
+        retryAfterMs: STARTING_RETRY_MS,
+      };
   report(context, request, matched, end, requestLog);
   return end;
 }
@@ -146,13 +157,14 @@
         this.placement,
         this.request.callerGone,
       );
-      if (!found) return this.giveUp(Failure.NoCapacity);
+      if (found.kind === 'dropped') return this.dropped(found.why);
+      const {candidate} = found;
       const refusal = this.refusalBeforeSend();
       if (refusal) {
-        found.server.recordEnd();
+        candidate.server.recordEnd();
         return refusal;
       }
-      const end = await this.attempt(found);
+      const end = await this.attempt(candidate);
       if (end) return end;
       const exhausted =
         this.sends >= this.route.maxAttempts || this.unsent > MAX_UNSENT;
@@ -160,6 +172,20 @@
     }
   }
 
+  /** Returns how the request ends if it stops waiting for a server. */
+  private dropped(why: DropReason): RequestEnd {
+    switch (why) {
+      case DropReason.CallerLeft:
+        return {kind: 'abandoned'};
+      case DropReason.NoTime:
+        return this.giveUp(Failure.Expired);
+      case DropReason.NoCapacity:
+        return this.giveUp(Failure.NoCapacity);
+      default:
+        return why satisfies never;
+    }
+  }
+
   /** Returns how the request ends if it cannot be sent any more. */
   private refusalBeforeSend(): RequestEnd | undefined {
     const now = this.context.clock.now();
@@ -262,10 +288,8 @@
   }
 
   /** Sends the request once; undefined if it may be sent again. */
-  private async send({
-    server,
-    cost,
-  }: Candidate): Promise<RequestEnd | undefined> {
+  private async send(candidate: Candidate): Promise<RequestEnd | undefined> {
+    const {server, cost} = candidate;
     const {context, request, route, service} = this;
     const startedAt = context.clock.now();
     const timeLeftMs = this.deadline - startedAt;
@@ -304,7 +328,7 @@
     }
     this.recordResult(server, result, now, now - startedAt);
     if (result.kind === 'answered') {
-      service.recordDuration(route.name, now - startedAt, cost);
+      service.recordAnswer(route.name, now - startedAt, candidate);
     }
     return this.resultToEnd(result);
   }
@@ -383,12 +407,22 @@
 
   private giveUp(reason: Failure): RequestEnd {
     if (this.serverError) return {kind: 'answered', answer: this.serverError};
-    return this.mayHaveRun ? unknown(Failure.Lost) : refused(reason);
+    if (this.mayHaveRun) return unknown(Failure.Lost);
+    return {kind: 'refused', reason, retryAfterMs: this.retryDelayMs()};
   }
-}
 
-function refused(reason: Failure): RequestEnd {
-  return {kind: 'refused', reason, retryAfterMs: RETRY_AFTER_MS};
+  /** Delay after which the caller may retry, milliseconds. */
+  private retryDelayMs(): number {
+    const {service, context, expectedMs: baselineMs} = this;
+    const drainMs = drainTimeMs({
+      waiting: this.queue.length,
+      instances: context.instanceCount(),
+      slots: service.slots,
+      baselineMs,
+    });
+    const timeLeftMs = this.deadline - context.clock.now();
+    return retryDelayMs({timeLeftMs, baselineMs, drainMs}, context.random);
+  }
 }
 
 function unknown(reason: Failure): RequestEnd {
