Ask the store less at a restart and in its outages

Each instance announced itself again at each start, polled both tables until it knew the fleet, and in an outage asked for each table every 0.8 s, though its sources did so already.

An instance whose sources do not reach the store either asks it every 2.5 s; they tell when it is back.

--- a/packages/balancer/src/instance/update_sources.ts
+++ b/packages/balancer/src/instance/update_sources.ts
@@ -49,6 +49,17 @@
     return this.instances.length;
   }
 
+  /** Whether the list names this instance with its address. */
+  get isListed(): boolean {
+    const {id, address, failureDomain} = this.self;
+    return this.instances.some(
+      entry =>
+        entry.id === id &&
+        entry.address === address &&
+        entry.failureDomain === failureDomain,
+    );
+  }
+
   /** Records that an instance cannot be reached or stopped sending. */
   recordFailure(id: string, now: number): void {
     const last = this.backoffs.get(id)?.delayMs ?? FIRST_BACKOFF_MS / 2;
--- a/packages/gateway/src/instance/gateway.ts
+++ b/packages/gateway/src/instance/gateway.ts
@@ -171,6 +171,7 @@
       self,
       peers,
       fleet,
+      isFirstStart: options.isFirstStart,
       clock,
       random,
       log,
--- a/packages/gateway/src/peer/news_exchange.ts
+++ b/packages/gateway/src/peer/news_exchange.ts
@@ -34,6 +34,12 @@
 const STARTUP_DELAY_MS = 1_500;
 /** Largest random addition to that delay, milliseconds. */
 const STARTUP_JITTER_MS = 1_000;
+/**
+ * The same for an instance that was restarted: the others are listed already, and
+ * those that are restarted with it listen by then.
+ */
+const RESTART_DELAY_MS = 400;
+const RESTART_JITTER_MS = 300;
 /** Mean delay before a failed call to the store is retried, milliseconds. */
 const RETRY_DELAY_MS = 800;
 /** Mean interval at which the list of instances is read, milliseconds. */
@@ -51,6 +57,8 @@
   /** Where other instances connect. */
   readonly peers: {readonly host: string; readonly port: number};
   readonly fleet: FleetDirectory;
+  /** Whether the whole fleet starts for the first time. */
+  readonly isFirstStart: boolean;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: GatewayLog;
@@ -89,6 +97,11 @@
     return this.sources.size;
   }
 
+  /** Whether the list of instances has been read. */
+  get isFleetKnown(): boolean {
+    return this.sources.size > 0;
+  }
+
   /** Whether other instances listen to this one. */
   get hasListeners(): boolean {
     return this.listeners.count > 0;
@@ -132,26 +145,46 @@
     await this.listeners[Symbol.asyncDispose]();
   }
 
-  /** Announces this instance, then reads the list of instances regularly. */
+  /** Announces this instance and reads the list of instances regularly. */
   private async refreshInstances(signal: AbortSignal): Promise<void> {
-    const {fleet, self} = this.options;
-    await this.retryStoreCall('announce', signal, () =>
-      fleet.announce(self, signal),
-    );
-    await pause(
-      STARTUP_DELAY_MS + STARTUP_JITTER_MS * this.randomFraction(),
-      signal,
-    );
+    if (this.options.isFirstStart) {
+      await this.announce(signal);
+      await this.pauseWithJitter(STARTUP_DELAY_MS, STARTUP_JITTER_MS, signal);
+      await this.readInstances(signal);
+    } else {
+      await this.pauseWithJitter(RESTART_DELAY_MS, RESTART_JITTER_MS, signal);
+      await this.readInstances(signal);
+      if (!this.sources.isListed) await this.announce(signal);
+    }
     while (!signal.aborted) {
-      await this.retryStoreCall('list', signal, async () => {
-        const listed = await fleet.list(signal);
-        return listed.map(instances => this.sources.setInstances(instances));
-      });
-      this.chooseSources();
       await pause(LIST_INTERVAL_MS * (0.5 + this.randomFraction()), signal);
+      await this.readInstances(signal);
     }
   }
 
+  private announce(signal: AbortSignal): Promise<void> {
+    const {fleet, self} = this.options;
+    return this.retryStoreCall('announce', signal, () =>
+      fleet.announce(self, signal),
+    );
+  }
+
+  private async readInstances(signal: AbortSignal): Promise<void> {
+    await this.retryStoreCall('list', signal, async () => {
+      const listed = await this.options.fleet.list(signal);
+      return listed.map(instances => this.sources.setInstances(instances));
+    });
+    this.chooseSources();
+  }
+
+  private async pauseWithJitter(
+    ms: number,
+    jitterMs: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    await pause(ms + jitterMs * this.randomFraction(), signal);
+  }
+
   /** Repeats a call to the store until it succeeds or the signal is aborted. */
   private async retryStoreCall(
     call: string,
--- a/packages/gateway/src/platform/table_follower.ts
+++ b/packages/gateway/src/platform/table_follower.ts
@@ -21,6 +21,11 @@
 const MIN_RETRY_DELAY_MS = 150;
 /** Maximum delay after a failed call, milliseconds. */
 const MAX_RETRY_DELAY_MS = 800;
+/**
+ * Delay after a failed call while the sources of this instance do not reach the
+ * store either, milliseconds. They tell when it is back.
+ */
+const COMMON_OUTAGE_RETRY_MS = 2_500;
 
 /** Timing of the calls for a table. */
 export interface FollowTiming {
@@ -54,6 +59,8 @@
 export class TableFollower<T> {
   private readonly position = new TablePosition();
   private failures = 0;
+  /** Whether the latest update of a source was that the store does not answer. */
+  private sourcesLostStore = false;
   private readonly pollPause = new WakeablePause();
 
   constructor(
@@ -129,7 +136,9 @@
   /** Time for which this instance relies on updates from other instances, milliseconds. */
   private pollDelayMs(): number {
     const {exchange, clock} = this.context;
-    if (exchange.hasListeners || !exchange.hasSources) return 0;
+    // Before the fleet is known, the table as it was read counts as current.
+    const readsForItself = exchange.isFleetKnown && !exchange.hasSources;
+    if (exchange.hasListeners || readsForItself) return 0;
     return this.position.readDueAt - clock.now();
   }
 
@@ -163,12 +172,14 @@
     const now = clock.now();
     const known = this.position.version;
     metrics.newsReceived(this.table, update.kind);
+    this.sourcesLostStore = update.kind === 'no_answer';
     if (update.kind === 'regained') this.sink.storeRegained(now);
     const action = this.position.recordUpdate(update, now);
     switch (action) {
       case UpdateAction.Apply:
       case UpdateAction.Confirm:
         if (this.failures > 0) this.endOutage(now);
+        this.pollPause.wake();
         if (update.kind === 'rows') this.updateSink(update.rows, known, now);
         return;
       case UpdateAction.Behind:
@@ -222,8 +233,18 @@
       log.dependency('store_lost', {table: this.table, cause, detail});
     }
     exchange.publish(this.table, {kind: 'no_answer'});
-    const delayMs = MIN_RETRY_DELAY_MS * 2 ** Math.min(this.failures, 8);
+    const delayMs = this.retryDelayMs();
     this.failures += 1;
-    await pause(Math.min(MAX_RETRY_DELAY_MS, delayMs), signal);
+    await this.pollPause.wait(delayMs, signal);
+  }
+
+  /** Delay before the next call after a failed one, milliseconds. */
+  private retryDelayMs(): number {
+    const {hasListeners, hasSources} = this.context.exchange;
+    if (this.sourcesLostStore && hasSources && !hasListeners) {
+      return COMMON_OUTAGE_RETRY_MS;
+    }
+    const delayMs = MIN_RETRY_DELAY_MS * 2 ** Math.min(this.failures, 8);
+    return Math.min(MAX_RETRY_DELAY_MS, delayMs);
   }
 }
