Let two instances read the store for a large fleet

Change: only the first instances of the first two domains read. The first of each other domain takes their rows and passes them on within its domain; an update is passed on once, so that it cannot go round. Who gets no confirmation for 1.3 s reads by itself, as before.

--- a/packages/balancer/src/instance/update_sources.ts
+++ b/packages/balancer/src/instance/update_sources.ts
@@ -1,9 +1,11 @@
 /**
  * Selects the instances from which one instance receives updates of the
- * platform's store. Only the few instances that are selected by others read the
- * store; they pass on what they read.
+ * platform's store. Only two instances of a large fleet read it; the others pass on
+ * what they receive from them.
  */
 
+/** Number of instances that read the store for a large fleet. */
+const MAX_READERS = 2;
 /** Up to this fleet size each instance reads: sharing would save nothing. */
 const SMALL_FLEET_SIZE = 8;
 /** Time for which an instance is skipped after one failure, milliseconds. */
@@ -78,30 +80,51 @@
   }
 
   /**
-   * Returns the instances to receive updates from now. The first instance of
-   * each failure domain reads for its domain, so that rows do not cross
-   * domains; one of the next announces changes that the first may have missed.
-   * Empty if this instance reads for itself.
+   * Returns the instances to receive updates from now; empty if this instance
+   * reads for itself. Two instances read for the whole fleet: the first of the
+   * first two failure domains. The first of each other domain receives rows from
+   * one of them, and the other announces changes that the first may have missed.
+   * Within a domain its first instance passes the rows on, and one of the next
+   * domain announces changes.
    */
   select(now: number): readonly UpdateSource[] {
     if (!this.sharesReads) return [];
-    const rowSource = this.firstAvailable(this.self.failureDomain, now);
-    if (!rowSource || rowSource.id === this.self.id) return [];
-    const announcer = this.otherDomains()
-      .map(domain => this.firstAvailable(domain, now))
-      .find(instance => instance !== undefined);
+    const readers = this.readers(now);
+    if (readers.some(({id}) => id === this.self.id)) return [];
+    const domainFirst = this.firstAvailable(this.self.failureDomain, now);
+    const [rowSource, announcer] =
+      domainFirst === undefined || domainFirst.id === this.self.id
+        ? readers
+        : [domainFirst, this.firstOfOtherDomain(now)];
     return [
-      {instance: rowSource, givesRows: true},
+      ...(rowSource ? [{instance: rowSource, givesRows: true}] : []),
       ...(announcer ? [{instance: announcer, givesRows: false}] : []),
     ];
   }
 
+  /** The instances that read the store for the fleet, at most two. */
+  private readers(now: number): readonly InstanceEntry[] {
+    return this.domains
+      .flatMap(domain => this.firstAvailable(domain, now) ?? [])
+      .slice(0, MAX_READERS);
+  }
+
+  private firstOfOtherDomain(now: number): InstanceEntry | undefined {
+    return this.otherDomains()
+      .map(domain => this.firstAvailable(domain, now))
+      .find(instance => instance !== undefined);
+  }
+
+  /** All failure domains, sorted. */
+  private get domains(): readonly string[] {
+    return [...new Set(this.instances.map(i => i.failureDomain))].sort();
+  }
+
   /** The other failure domains in cyclic order, the next one first. */
   private otherDomains(): readonly string[] {
     const own = this.self.failureDomain;
-    const all = [...new Set(this.instances.map(i => i.failureDomain))].sort();
-    const after = all.filter(domain => domain > own);
-    return [...after, ...all.filter(domain => domain < own)];
+    const after = this.domains.filter(domain => domain > own);
+    return [...after, ...this.domains.filter(domain => domain < own)];
   }
 
   /** The first instance of a domain that is not being skipped. */
--- a/packages/gateway/src/peer/news_exchange.ts
+++ b/packages/gateway/src/peer/news_exchange.ts
@@ -1,7 +1,8 @@
 /**
  * Exchange of table updates between instances in `news` messages. An update
  * reports the changes of a table of the platform's store; an instance listens to
- * a few others, its sources, so that not every instance has to poll the store.
+ * a few others, its sources, so that not every instance has to poll the store,
+ * and passes on what it takes in.
  */
 import {
   type Clock,
@@ -48,8 +49,21 @@
 const CHOOSE_INTERVAL_MS = 1_000;
 const RANDOM_STEPS = 1_024;
 
-/** Handles an update of a table. */
-export type UpdateHandler = (update: TableUpdate<StoredRow>) => void;
+/**
+ * How often an update is passed on: by the first instance of a failure domain. A
+ * limit also ends updates that would go round between instances that disagree.
+ */
+const MAX_HOPS = 1;
+
+/**
+ * Handles an update of a table; returns whether to pass it on.
+ *
+ * @param givesRows Whether the source sends rows, rather than announcements.
+ */
+export type UpdateHandler = (
+  update: TableUpdate<StoredRow>,
+  givesRows: boolean,
+) => boolean;
 
 /** Settings and dependencies of a news exchange. */
 export interface NewsExchangeOptions {
@@ -112,9 +126,9 @@
     return this.chosenSources.length > 0;
   }
 
-  /** Publishes an update of a table to the listeners. */
+  /** Publishes what this instance read in the store to the listeners. */
   publish(table: string, update: TableUpdate<StoredRow>): void {
-    this.listeners.publish(table, update);
+    this.listeners.publish(table, update, 0);
   }
 
   /** Sets the handler of the updates of a table. */
@@ -260,9 +274,12 @@
       if (received.kind !== 'message' || received.message.kind !== 'news') {
         continue;
       }
-      const {table, news} = received.message;
+      const {table, news, hops} = received.message;
       this.sources.recordMessage(instance.id);
-      this.handlers.get(table)?.(news);
+      const isPassedOn = this.handlers.get(table)?.(news, givesRows) ?? false;
+      if (isPassedOn && hops < MAX_HOPS) {
+        this.listeners.publish(table, news, hops + 1);
+      }
     }
   }
 
--- a/packages/gateway/src/peer/news_listeners.ts
+++ b/packages/gateway/src/peer/news_listeners.ts
@@ -49,12 +49,12 @@
   }
 
   /** Publishes an update of a table. */
-  publish(table: string, update: TableUpdate<StoredRow>): void {
+  publish(table: string, update: TableUpdate<StoredRow>, hops: number): void {
     const summary = withoutRows(update);
     const full = exceedsRelayLimit(update) ? summary : update;
     this.listeners.forEach(({socket, givesRows}) => {
       const relayed = givesRows ? full : summary;
-      socket.send({kind: 'news', table, news: relayed});
+      socket.send({kind: 'news', table, news: relayed, hops});
     });
   }
 
--- a/packages/gateway/src/peer/news_message.ts
+++ b/packages/gateway/src/peer/news_message.ts
@@ -31,7 +31,13 @@
     instance: z.string(),
     givesRows: z.boolean(),
   }),
-  z.object({kind: z.literal('news'), table: z.string(), news}),
+  z.object({
+    kind: z.literal('news'),
+    table: z.string(),
+    news,
+    /** How many instances have passed it on since one read it in the store. */
+    hops: z.int().min(0).default(0),
+  }),
 ]);
 
 /** A message between instances. */
--- a/packages/gateway/src/platform/table_follower.ts
+++ b/packages/gateway/src/platform/table_follower.ts
@@ -70,7 +70,9 @@
     private readonly context: FollowerContext,
     private readonly timing: FollowTiming,
   ) {
-    context.exchange.onUpdate(table, update => this.applyPeerUpdate(update));
+    context.exchange.onUpdate(table, (update, givesRows) =>
+      this.applyPeerUpdate(update, givesRows),
+    );
     context.exchange.onRoleChange(() => this.pollPause.wake());
   }
 
@@ -138,7 +140,7 @@
     const {exchange, clock} = this.context;
     // Before the fleet is known, the table as it was read counts as current.
     const readsForItself = exchange.isFleetKnown && !exchange.hasSources;
-    if (exchange.hasListeners || readsForItself) return 0;
+    if (readsForItself) return 0;
     return this.position.readDueAt - clock.now();
   }
 
@@ -166,8 +168,14 @@
     exchange.publish(this.table, update);
   }
 
-  /** Applies an update that another instance published. */
-  private applyPeerUpdate(update: TableUpdate<StoredRow>): void {
+  /**
+   * Applies an update that another instance published; returns whether to pass it
+   * on. Announcements are not: those who listen may have the rows already.
+   */
+  private applyPeerUpdate(
+    update: TableUpdate<StoredRow>,
+    givesRows: boolean,
+  ): boolean {
     const {clock, metrics} = this.context;
     const now = clock.now();
     const known = this.position.version;
@@ -181,14 +189,18 @@
         if (this.failures > 0) this.endOutage(now);
         this.pollPause.wake();
         if (update.kind === 'rows') this.updateSink(update.rows, known, now);
-        return;
+        return true;
       case UpdateAction.Behind:
         // This instance now has to read the table earlier than planned.
-        return this.pollPause.wake();
+        this.pollPause.wake();
+        return false;
       case UpdateAction.None:
-        return;
+        return (
+          givesRows &&
+          (update.kind === 'no_answer' || update.kind === 'regained')
+        );
       default:
-        action satisfies never;
+        return action satisfies never;
     }
   }
 
@@ -240,8 +252,7 @@
 
   /** Delay before the next call after a failed one, milliseconds. */
   private retryDelayMs(): number {
-    const {hasListeners, hasSources} = this.context.exchange;
-    if (this.sourcesLostStore && hasSources && !hasListeners) {
+    if (this.sourcesLostStore && this.context.exchange.hasSources) {
       return COMMON_OUTAGE_RETRY_MS;
     }
     const delayMs = MIN_RETRY_DELAY_MS * 2 ** Math.min(this.failures, 8);
