Confirm the tables after a pause before acting on them

Cause: a process that was stopped, suspended or blocked for seconds went on with what it knew before: services that tell no load were sent requests at once, also to servers that had left meanwhile; and the steady clock stands still while a machine is suspended, so that deadlines were taken for later ones.

Change: PauseGuard compares the steady clock and the time of day at each placement and every 0.2 s. After a gap of a second both tables are asked for at once, on new connections, and requests wait for that, half a second at most. Suspensions count in the time that decisions get.

A time of day that jumps forward looks the same and costs two calls to the store.

--- a/packages/gateway/src/instance/gateway.ts
+++ b/packages/gateway/src/instance/gateway.ts
@@ -1,6 +1,5 @@
 /** An entry instance on a platform whose store holds the registry and the configuration. */
 import {
-  type Clock,
   Deployment,
   ProbeRateLimiter,
   type Random,
@@ -25,6 +24,7 @@
 import {RequestQueues} from '../request/request_queue.js';
 import {ConfigurationSink} from './configuration_sink.js';
 import {pause} from './pause.js';
+import type {PauseGuard} from './pause_guard.js';
 import {RegistrySink} from './registry_sink.js';
 
 /** Time for which callers may cache an address answer, milliseconds. */
@@ -82,7 +82,7 @@
   readonly wire: WireFormat;
   readonly registry: RowSource<ServerEntry>;
   readonly configurations: RowSource<RoutingConfiguration>;
-  readonly clock: Clock;
+  readonly clock: PauseGuard;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
 }
@@ -146,6 +146,7 @@
       clock,
       err => log.taskFailed('request', err),
     );
+    clock.onPause(ms => log.lifecycle('paused', {ms: Math.round(ms)}));
     metrics.registerGauges({
       configurationVersion: () =>
         this.deployment.routes?.configuration.version ?? 0,
@@ -250,6 +251,9 @@
         CONFIGURATION_TIMING,
       ),
     ];
+    followers.forEach(follower =>
+      this.options.clock.onPauseConfirm(() => follower.confirm()),
+    );
     const {signal} = this.tasks;
     const tasks = [...followers, this.newsExchange].map(task =>
       this.keepRunning(task, signal),
--- a/packages/gateway/src/platform/table_follower.ts
+++ b/packages/gateway/src/platform/table_follower.ts
@@ -61,6 +61,10 @@
   private failures = 0;
   /** Whether the latest update of a source was that the store does not answer. */
   private sourcesLostStore = false;
+  /** Ends the current call early; replaced after each use. */
+  private interrupt = new AbortController();
+  /** Called at the end of the next call. */
+  private readonly awaitingCall: (() => void)[] = [];
   private readonly pollPause = new WakeablePause();
 
   constructor(
@@ -83,6 +87,18 @@
     }
   }
 
+  /**
+   * Asks the store at once, on a new connection; resolves when it has answered or
+   * the call has failed. What was known before a pause may be out of date.
+   */
+  confirm(): Promise<void> {
+    return new Promise(resolve => {
+      this.awaitingCall.push(resolve);
+      this.interrupt.abort();
+      this.pollPause.wake();
+    });
+  }
+
   private async readAll(signal: AbortSignal): Promise<boolean> {
     const read = await this.source.read(signal);
     if (read.isErr()) {
@@ -102,16 +118,21 @@
   private async follow(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const delayMs = this.pollDelayMs();
-      if (delayMs > 0) {
+      if (delayMs > 0 && this.awaitingCall.length === 0) {
         await this.pollPause.wait(delayMs, signal);
         continue;
       }
       const from = this.position.version;
+      this.interrupt = new AbortController();
+      const confirmed = this.awaitingCall.splice(0);
+      const longPollMs = confirmed.length > 0 ? 0 : this.currentLongPollMs;
       const read = await this.source.changes(
         from,
-        this.currentLongPollMs,
-        signal,
+        longPollMs,
+        AbortSignal.any([signal, this.interrupt.signal]),
       );
+      confirmed.forEach(resolve => resolve());
+      if (read.isErr() && this.interrupt.signal.aborted) continue;
       if (read.isErr()) {
         await this.storeFailed(read.error, signal);
         continue;
--- a/packages/gateway/src/request/request_run.ts
+++ b/packages/gateway/src/request/request_run.ts
@@ -2,7 +2,6 @@
 import {
   adviseHedge,
   type Candidate,
-  type Clock,
   type Deployment,
   drainTimeMs,
   DropReason,
@@ -20,6 +19,7 @@
 import type {BackendClient} from '../backend_server/backend_client.js';
 import type {Prober} from '../backend_server/prober.js';
 import type {SendResult, ServerAnswer} from '../backend_server/send_result.js';
+import type {PauseGuard} from '../instance/pause_guard.js';
 import type {GatewayLog} from '../log/gateway_log.js';
 import type {RequestLog} from '../log/request_log.js';
 import type {GatewayMetrics} from '../metrics/gateway_metrics.js';
@@ -56,7 +56,7 @@
   readonly queues: RequestQueues;
   readonly prober: Prober;
   readonly backendClient: BackendClient;
-  readonly clock: Clock;
+  readonly clock: PauseGuard;
   readonly random: Random;
   /** Number of known instances; 0 while it is unknown. */
   readonly instanceCount: () => number;
@@ -159,6 +159,13 @@
       );
       if (found.kind === 'dropped') return this.dropped(found.why);
       const {candidate} = found;
+      // After a pause the choice may rest on what has changed meanwhile.
+      const settled = this.context.clock.settled();
+      if (settled) {
+        candidate.server.recordEnd();
+        await settled;
+        continue;
+      }
       const refusal = this.refusalBeforeSend();
       if (refusal) {
         candidate.server.recordEnd();
