Go on using a service whose servers all fail alike

Change: penalties for failures and bad health count relative to the median of the service's servers, if most of them have one.

Result: shared_service.test.ts, two tests that fail without the change.

--- a/packages/balancer/src/backend_server/shared_server.ts
+++ b/packages/balancer/src/backend_server/shared_server.ts
@@ -188,17 +188,28 @@
     return (MIN_SLOT_WAIT_FRACTION * slowness * excess) / slots;
   }
 
+  /** Penalty factor for recent failures and bad health; 1 for a sound server. */
+  penalty(now: number): number {
+    const failurePenalty = 1 + FAILURE_PENALTY * this.decayedFailures(now);
+    return failurePenalty * (this.unhealthy ? UNHEALTHY_PENALTY : 1);
+  }
+
   /**
    * Expected latency factor, multiplied by penalties for recent failures, bad
    * health and an overdue load query.
+   *
+   * @param commonPenalty Penalty that most servers of its service have.
    */
-  expectedCost(now: number, latencyFactor: number): number {
-    const failurePenalty = 1 + FAILURE_PENALTY * this.decayedFailures(now);
-    const healthPenalty = this.unhealthy ? UNHEALTHY_PENALTY : 1;
+  expectedCost(
+    now: number,
+    latencyFactor: number,
+    commonPenalty: number,
+  ): number {
     const isLoadQuerySlow =
       this.isLoadQueryPending && now - this.loadQueriedAt > SLOW_LOAD_QUERY_MS;
     const loadQueryPenalty = isLoadQuerySlow ? SLOW_LOAD_QUERY_PENALTY : 1;
-    return latencyFactor * failurePenalty * healthPenalty * loadQueryPenalty;
+    const penalty = Math.max(1, this.penalty(now) / commonPenalty);
+    return latencyFactor * penalty * loadQueryPenalty;
   }
 
   /** Records that a load query was sent. */
--- a/packages/balancer/src/service/shared_service.test.ts
+++ b/packages/balancer/src/service/shared_service.test.ts
@@ -257,3 +257,28 @@
   t.false(service.canMeetTarget(endingIn(BASELINE_MS * 1.05), START));
   t.true(service.canMeetTarget(endingIn(BASELINE_MS * 1.5), START));
 });
+
+test('servers that fail alike are used nevertheless, the better ones first', t => {
+  const {service, servers} = serviceOf(['x', 'y', 'z']);
+  servers.forEach(server => report(server, 0, 1));
+  const fail = (server: SharedServer, times: number) =>
+    Array.from({length: times}, () => server.recordFailure(START));
+  fail(servers[0]!, 8);
+  fail(servers[1]!, 6);
+  fail(servers[2]!, 7);
+  const place = service.place(requestAt(), START);
+  t.is(place.kind === 'send' && place.candidate.server, servers[1]!);
+});
+
+test('servers that all say they are unhealthy are used nevertheless', t => {
+  const {service, servers} = serviceOf(['x', 'y', 'z']);
+  servers.forEach(server => {
+    report(server, 0, 1);
+    server.recordHealth(false);
+  });
+  t.is(service.place(requestAt(), START).kind, 'send');
+  servers[0]!.recordHealth(true);
+  servers[1]!.recordHealth(true);
+  const place = service.place(requestAt(), START);
+  t.not(place.kind === 'send' && place.candidate.server, servers[2]!);
+});
--- a/packages/balancer/src/service/shared_service.ts
+++ b/packages/balancer/src/service/shared_service.ts
@@ -81,6 +81,9 @@
   readonly tried: ReadonlySet<string>;
 }
 
+/** Penalty factor up to which a server counts as sound. */
+const MAX_SOUND_PENALTY = 1.1;
+
 /** What to do with a request now. */
 export type PlacementDecision =
   | {readonly kind: 'send'; readonly candidate: Candidate}
@@ -144,11 +147,12 @@
   /** Returns a snapshot of all servers that accept work. */
   snapshot(now: number): ServerSnapshot {
     const shortestMs = this.shortestBaselineMs;
-    const estimate = (server: SharedServer) =>
-      this.estimate(server, shortestMs, now);
     const available = [...this.byId.values()].filter(
       server => server.acceptsRequests,
     );
+    const common = commonPenalty(available, now);
+    const estimate = (server: SharedServer) =>
+      this.estimate(server, shortestMs, common, now);
     return new ServerSnapshot(available, estimate);
   }
 
@@ -298,6 +302,7 @@
   private estimate(
     server: SharedServer,
     shortestMs: number,
+    commonPenalty: number,
     now: number,
   ): ServerEstimate {
     const age = server.reportAge(now);
@@ -308,7 +313,7 @@
       this.saturation.slowdown,
     );
     const cost =
-      server.expectedCost(now, latencyFactor) *
+      server.expectedCost(now, latencyFactor, commonPenalty) *
       this.loadIndependentFactor(server, now);
     const reportsNoLoad = this.reportsLoad === false;
     const fullMs = Math.min(
@@ -362,6 +367,19 @@
   return {kind: 'send', candidate};
 }
 
+/**
+ * Returns the median of the servers' penalties. Servers that fail alike are not
+ * avoided: a service that sheds a part of its requests still serves the others.
+ */
+function commonPenalty(servers: readonly SharedServer[], now: number): number {
+  const penalties = servers.map(server => server.penalty(now));
+  const sound = penalties.filter(penalty => penalty <= MAX_SOUND_PENALTY);
+  // The usual case is fast: most servers are sound.
+  if (2 * sound.length >= penalties.length) return 1;
+  penalties.sort((a, b) => a - b);
+  return penalties[Math.floor(penalties.length / 2)]!;
+}
+
 /**
  * Returns whether an entry is at least as recent as the known one of its
  * server.
