--- a/packages/balancer/src/backend_server/shared_server.ts
+++ b/packages/balancer/src/backend_server/shared_server.ts
@@ -4,8 +4,6 @@
  * which are out of date within a fraction of a second.
  */
 
-import {isNearlyFull} from '../service/saturation.js';
-
 /** Whether a backend server accepts new requests, according to the registry. */
 export const EntryState = {
   Ready: 'ready',
@@ -52,6 +50,10 @@
 const UNREPORTED_SEND_LIFETIME_MS = 1_000;
 /** Slowness assumed for a server without a recent report. */
 const TYPICAL_SLOWNESS = 1.7;
+/** Fraction of the slots in use above which servers commonly slow down. */
+const NEARLY_FULL_UTILIZATION = 0.8;
+/** Slowdown assumed for a nearly full server. */
+const NEARLY_FULL_SLOWNESS = 1.6;
 /** Slowdown assumed for a server that is warming up. */
 const WARM_UP_SLOWNESS = 1.8;
 /** Half-life of the failure count, milliseconds. */
@@ -153,23 +155,15 @@
   /**
    * Estimates the latency of one more request, as a multiple of the latency on
    * an idle server of normal speed.
-   *
-   * @param nearlyFullSlowdown Slowdown of servers of its service when they are
-   *     nearly full.
    */
-  expectedLatencyFactor(
-    now: number,
-    load: number,
-    nearlyFullSlowdown: number,
-  ): number {
+  expectedLatencyFactor(now: number, load: number): number {
     const {slots} = this;
     const after = load + 1;
     const weight = Math.exp(-this.reportAge(now) / REPORT_DECAY_MS);
     const reported = this.report?.slowness ?? TYPICAL_SLOWNESS;
     const slowness = reported * weight + TYPICAL_SLOWNESS * (1 - weight);
-    const utilizationFactor = isNearlyFull(load, slots)
-      ? nearlyFullSlowdown
-      : 1;
+    const utilizationFactor =
+      after > NEARLY_FULL_UTILIZATION * slots ? NEARLY_FULL_SLOWNESS : 1;
     const queueing = 1 + Math.max(0, after - slots) / slots;
     const warmUp = now < this.warmUpEndsAt ? WARM_UP_SLOWNESS : 1;
     return slowness * utilizationFactor * queueing * warmUp;
--- a/packages/balancer/src/service/overload_play.test_support.ts
+++ b/packages/balancer/src/service/overload_play.test_support.ts
@@ -141,7 +141,7 @@
         outcome.unfinished += 1;
         return;
       }
-      service.recordAnswer(played.route.name, now - sentAt, candidate!);
+      service.recordDuration(played.route.name, now - sentAt, candidate!.cost);
       if (now - request.firstAt <= played.route.targetMs) {
         outcome.inTarget += 1;
       } else outcome.late += 1;
--- a/packages/balancer/src/service/server_snapshot.ts
+++ b/packages/balancer/src/service/server_snapshot.ts
@@ -11,14 +11,14 @@
 export interface Candidate {
   readonly server: SharedServer;
   readonly cost: number;
-  /** Requests running or queued on the server. */
-  readonly load: number;
-  /** Expected duration of one more request, as a multiple of the baseline. */
-  readonly latencyFactor: number;
 }
 
 /** Estimates for a server at the time of the snapshot. */
 export interface ServerEstimate extends Candidate {
+  /** Requests running or queued on the server. */
+  readonly load: number;
+  /** Expected duration of one more request, as a multiple of the baseline. */
+  readonly latencyFactor: number;
   /** Whether the load report is recent enough to reflect the current state. */
   readonly isCurrent: boolean;
   /** Whether the load report is recent enough to base a decision on it. */
--- a/packages/balancer/src/service/shared_service.ts
+++ b/packages/balancer/src/service/shared_service.ts
@@ -8,7 +8,6 @@
   type ServerEntry,
   SharedServer,
 } from '../backend_server/shared_server.js';
-import {isNearlyFull, Saturation} from './saturation.js';
 import type {RepeatBudget} from './repeat_budget.js';
 import {
   type Candidate,
@@ -105,7 +104,6 @@
 
 /** The backend servers of one service, as known to this instance. */
 export class SharedService {
-  private readonly saturation = new Saturation();
   /**
    * Whether the servers report their load; undefined while this is not known.
    */
@@ -208,21 +206,6 @@
     return this.fits(request, SHORTEST_LATENCY_FACTOR, now);
   }
 
-  /** Records the duration of an answered request, as sent to this candidate. */
-  recordAnswer(route: string, ms: number, candidate: Candidate): void {
-    const {server, cost, load, latencyFactor} = candidate;
-    const usualMs = this.baselines.get(route);
-    const {slowdown} = this.saturation;
-    const isSample =
-      isNearlyFull(load, server.slots) &&
-      load < server.slots &&
-      latencyFactor / slowdown <= MAX_GOOD_COST;
-    if (usualMs !== undefined && isSample) {
-      this.saturation.recordNearlyFull(ms / usualMs);
-    }
-    this.recordDuration(route, ms, cost);
-  }
-
   /** Records the duration of a request on a server with this expected cost. */
   recordDuration(route: string, ms: number, cost: number): void {
     // Durations on slow servers reflect the server rather than the request.
@@ -272,16 +255,16 @@
       known.find(
         ({server, cost, load, latencyFactor}) =>
           cost <= MAX_ACCEPTABLE_COST &&
-          this.saturation.mayAdd(load, server.slots) &&
+          load < server.slots &&
           now + latencyFactor * baselineMs <= dueAt &&
           this.fits(request, latencyFactor, now),
       );
     const timely = freeSlotBy(targetAt);
-    if (timely) return this.useFreeSlot(timely);
+    if (timely) return sendTo(timely);
     if (this.canMeetTarget(request, now)) return WAIT;
     if (lateUse === LateUse.FreeSlots) {
       const free = freeSlotBy(Infinity);
-      return free ? this.useFreeSlot(free) : WAIT;
+      return free ? sendTo(free) : WAIT;
     }
     // The target is out of reach: use only idle servers, the most expensive
     // first. The others are left to requests that can still meet their targets.
@@ -293,11 +276,6 @@
     return late ? sendTo(late) : WAIT;
   }
 
-  private useFreeSlot(candidate: Candidate): PlacementDecision {
-    this.saturation.recordPlacement();
-    return sendTo(candidate);
-  }
-
   /** Estimates cost and load of a server. */
   private estimate(
     server: SharedServer,
@@ -307,11 +285,7 @@
   ): ServerEstimate {
     const age = server.reportAge(now);
     const load = server.loadAt(now);
-    const latencyFactor = server.expectedLatencyFactor(
-      now,
-      load,
-      this.saturation.slowdown,
-    );
+    const latencyFactor = server.expectedLatencyFactor(now, load);
     const cost =
       server.expectedCost(now, latencyFactor, commonPenalty) *
       this.loadIndependentFactor(server, now);
--- a/packages/gateway/src/request/request_run.ts
+++ b/packages/gateway/src/request/request_run.ts
@@ -295,8 +295,10 @@
   }
 
   /** Sends the request once; undefined if it may be sent again. */
-  private async send(candidate: Candidate): Promise<RequestEnd | undefined> {
-    const {server, cost} = candidate;
+  private async send({
+    server,
+    cost,
+  }: Candidate): Promise<RequestEnd | undefined> {
     const {context, request, route, service} = this;
     const startedAt = context.clock.now();
     const timeLeftMs = this.deadline - startedAt;
@@ -335,7 +337,7 @@
     }
     this.recordResult(server, result, now, now - startedAt);
     if (result.kind === 'answered') {
-      service.recordAnswer(route.name, now - startedAt, candidate);
+      service.recordDuration(route.name, now - startedAt, cost);
     }
     return this.resultToEnd(result);
   }
