Let an urgent request take a slot that a less urgent one would get

Cause: an urgent request whose best free slot was expected to miss its target went on waiting for a better one, and a less urgent one of the same service took the slot. Where two slots make a server nearly full, urgent requests were served worse than others.

--- a/packages/balancer/src/service/shared_service.ts
+++ b/packages/balancer/src/service/shared_service.ts
@@ -261,11 +261,11 @@
       );
     const timely = freeSlotBy(targetAt);
     if (timely) return sendTo(timely);
-    if (this.canMeetTarget(request, now)) return WAIT;
     if (lateUse === LateUse.FreeSlots) {
       const free = freeSlotBy(Infinity);
       return free ? sendTo(free) : WAIT;
     }
+    if (this.canMeetTarget(request, now)) return WAIT;
     // The target is out of reach: use only idle servers, the most expensive
     // first. The others are left to requests that can still meet their targets.
     // Otherwise an overload would end up making every request late.
