Load less at a start, and log its stages

Lifecycle lines 'listening' and 'ready' say how long after the start they were reached. A request that takes over a minute to arrive is answered 408; heads are timed each second, not every half minute. request_run.ts is split; no decision changed by that.

--- a/packages/balancer/src/configuration/configuration_rows.ts
+++ b/packages/balancer/src/configuration/configuration_rows.ts
@@ -14,7 +14,7 @@
   type Transaction,
   type Write,
 } from '@ragworthall/contracts';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Version of the row format; rows of any other version are invalid. */
 export const ROW_FORMAT = 1;
--- a/packages/balancer/src/instance/deployment.ts
+++ b/packages/balancer/src/instance/deployment.ts
@@ -40,6 +40,7 @@
 export class Deployment {
   private routeTable: RouteTable | undefined;
   private registryKnown = false;
+  private knownListener: (() => void) | undefined;
   private readonly services = new Map<string, SharedService>();
   private readonly servers = new Map<string, SharedServer>();
 
@@ -55,6 +56,11 @@
     return this.routeTable !== undefined && this.registryKnown;
   }
 
+  /** Calls `listener` when requests can be served for the first time. */
+  onceKnown(listener: () => void): void {
+    this.knownListener = listener;
+  }
+
   /** Ids of the known backend servers. */
   get serverIds(): readonly string[] {
     return [...this.servers.keys()];
@@ -97,6 +103,7 @@
     this.services.forEach(service => {
       service.settings = this.settingsOf(service.name) ?? service.settings;
     });
+    this.notifyIfKnown();
     return UpdateOutcome.Taken;
   }
 
@@ -129,6 +136,13 @@
   /** Records that the registry was read in full. */
   markRegistryRead(): void {
     this.registryKnown = true;
+    this.notifyIfKnown();
+  }
+
+  private notifyIfKnown(): void {
+    if (!this.isKnown) return;
+    this.knownListener?.();
+    this.knownListener = undefined;
   }
 
   private addServer(entry: ServerEntry, now: number): UpdateOutcome {
--- a/packages/balancer/src/instance/seat_registration.ts
+++ b/packages/balancer/src/instance/seat_registration.ts
@@ -4,7 +4,7 @@
  * else has changed the row, so each successful write is a proof for the lease.
  */
 import type {Row} from '@ragworthall/contracts';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {ReplicatedConfiguration} from '../configuration/replicated_configuration.js';
 import type {ReadOutcome, Table} from '../platform/table.js';
 import type {Clock} from '../service/call_runner.js';
--- a/packages/contracts/src/contract/contract.ts
+++ b/packages/contracts/src/contract/contract.ts
@@ -1,5 +1,5 @@
 /** The contract of one kind of request: rank, deadline and latency target. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {Rank} from './rank.js';
 
 /** Longest deadline that a contract may set, milliseconds. */
--- a/packages/contracts/src/service/service_config.ts
+++ b/packages/contracts/src/service/service_config.ts
@@ -1,5 +1,5 @@
 /** Configuration of one service: its backend servers, contracts and budgets. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {contractSchema} from '../contract/contract.js';
 import {checkService, isIpAndPort} from './service_checks.js';
 
--- a/packages/daemon/src/health/health_server.ts
+++ b/packages/daemon/src/health/health_server.ts
@@ -15,7 +15,7 @@
   type ServerResponse,
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {z} from 'zod';
+import * as z from 'zod';
 import {writeJson} from '../caller/answer_writer.js';
 import {readBody} from '../caller/body.js';
 import {LOG_LEVELS, type LogLevel} from '../settings/settings.js';
--- a/packages/daemon/src/operator/change_plan.ts
+++ b/packages/daemon/src/operator/change_plan.ts
@@ -1,7 +1,7 @@
 /** Validates operators' change requests and plans configuration changes. */
 import {isDeepStrictEqual} from 'node:util';
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
   changeSetSchema,
   problemsOf,
--- a/packages/daemon/src/peer/frame_codec.ts
+++ b/packages/daemon/src/peer/frame_codec.ts
@@ -1,6 +1,6 @@
 /** Encodes messages as MessagePack and validates received ones. */
 import {Packr} from 'msgpackr';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** The decoded content of a frame. */
 export type Decoded<M> =
--- a/packages/daemon/src/peer/message.ts
+++ b/packages/daemon/src/peer/message.ts
@@ -10,7 +10,7 @@
 import {contractSchema, serviceSchema} from '@ragworthall/contracts';
 import type {CallResult} from '@ragworthall/balancer';
 import type {ServiceId} from '@ragworthall/contracts';
-import {z} from 'zod';
+import * as z from 'zod';
 import {frameCodec} from './frame_codec.js';
 
 /** Protocol version; instances with different versions refuse to link. */
--- a/packages/daemon/src/platform/instance_list.ts
+++ b/packages/daemon/src/platform/instance_list.ts
@@ -1,6 +1,6 @@
 /** Access to the platform's list of instances over HTTP. */
 import type {ListedInstance} from '@ragworthall/contracts';
-import {z} from 'zod';
+import * as z from 'zod';
 import {parseJson, type PlatformClient} from './platform_client.js';
 
 const listSchema = z.object({
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -1,7 +1,7 @@
 /** Settings of one daemon: JSON with comments, validated as a whole. */
 import {type DocumentProblem, parseJsonc} from '@ragworthall/contracts';
 import type {Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {parseAddress} from './address.js';
 import {checkSettings} from './settings_checks.js';
 
--- a/packages/gateway/src/caller/caller_server.ts
+++ b/packages/gateway/src/caller/caller_server.ts
@@ -22,6 +22,10 @@
   headersMs: 10_000,
   idleMs: 60_000,
 };
+/** Longest time for a request to arrive, milliseconds; one may come without end. */
+const REQUEST_TIMEOUT_MS = 60_000;
+/** Interval at which the times for heads and requests are checked, milliseconds. */
+const TIMEOUT_CHECK_MS = 1_000;
 const MS_PER_S = 1_000;
 /** Request headers that the backend HTTP client sets itself. */
 const SET_BY_NEXT_HOP: ReadonlySet<string> = new Set([
@@ -54,7 +58,8 @@
     this.server = createServer({
       maxHeaderSize: DEFAULT_LIMITS.headerBytes,
       headersTimeout: DEFAULT_LIMITS.headersMs,
-      requestTimeout: 0,
+      requestTimeout: REQUEST_TIMEOUT_MS,
+      connectionsCheckingInterval: TIMEOUT_CHECK_MS,
       keepAliveTimeout: DEFAULT_LIMITS.idleMs,
       noDelay: true,
     });
--- a/packages/gateway/src/instance/gateway.ts
+++ b/packages/gateway/src/instance/gateway.ts
@@ -154,6 +154,9 @@
       probes: () => prober.sent,
       inFlight: () => this.callerServer.inFlight,
     });
+    this.deployment.onceKnown(() =>
+      log.lifecycle('ready', {sinceStartMs: Math.round(performance.now())}),
+    );
     this.registrySink = new RegistrySink(
       this.deployment,
       this.backendClient,
@@ -181,6 +184,7 @@
     const {host, port} = options.callers;
     await gateway.callerServer.listen(port, host);
     gateway.followTables();
+    log.lifecycle('listening', {sinceStartMs: Math.round(performance.now())});
     return gateway;
   }
 
--- a/packages/gateway/src/peer/news_message.ts
+++ b/packages/gateway/src/peer/news_message.ts
@@ -1,6 +1,6 @@
 /** Messages by which instances share the changes that they read from the store. */
 import {frameCodec} from '@ragworthall/daemon';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const version = z.int();
 
--- a/packages/gateway/src/request/caller_request.ts
+++ b/packages/gateway/src/request/caller_request.ts
@@ -20,6 +20,9 @@
   readonly callerGone: AbortSignal;
 }
 
+/** First status code of the server error class. */
+export const SERVER_ERROR = 500;
+
 /** Why a request was not answered by a backend server. */
 export const Failure = {
   /** This instance has not read the configuration or the registry yet. */
--- a/packages/gateway/src/request/request_run.ts
+++ b/packages/gateway/src/request/request_run.ts
@@ -2,7 +2,6 @@
 import {
   adviseHedge,
   type Candidate,
-  type Deployment,
   drainTimeMs,
   DropReason,
   type HedgeAdvice,
@@ -11,25 +10,22 @@
   NEVER_ABORTED,
   type Route,
   type PlacementRequest,
-  type Random,
   retryDelayMs,
   type SharedServer,
   type SharedService,
 } from '@ragworthall/balancer';
-import type {BackendClient} from '../backend_server/backend_client.js';
-import type {Prober} from '../backend_server/prober.js';
 import type {SendResult, ServerAnswer} from '../backend_server/send_result.js';
-import type {PauseGuard} from '../instance/pause_guard.js';
-import type {GatewayLog} from '../log/gateway_log.js';
 import type {RequestLog} from '../log/request_log.js';
-import type {GatewayMetrics} from '../metrics/gateway_metrics.js';
 import {
   type CallerRequest,
   Failure,
   type RequestEnd,
+  SERVER_ERROR,
 } from './caller_request.js';
 import {firstDefined, orTimeout} from './promise_race.js';
-import type {RequestQueue, RequestQueues} from './request_queue.js';
+import type {RequestQueue} from './request_queue.js';
+import {reportEnd} from './request_report.js';
+import type {RunContext} from './run_context.js';
 
 /** A request with less time left than this is not sent, milliseconds. */
 const MIN_LEFT_MS = 10;
@@ -43,27 +39,11 @@
 const IDEMPOTENT_IDLE_MS = 8_000;
 /** Maximum sends that fail before their first byte; they do not count as attempts. */
 const MAX_UNSENT = 3;
-/** First status code of the server error class. */
-const SERVER_ERROR = 500;
 /** A missing answer counts as a failure after this many times the expected duration. */
 const OVERDUE_FACTOR = 5;
 /** Assumed age of an arriving load report, milliseconds; it may lack requests sent since then. */
 const REPORT_TRANSIT_MS = 4;
 
-/** Dependencies shared by all request runs. */
-export interface RunContext {
-  readonly deployment: Deployment;
-  readonly queues: RequestQueues;
-  readonly prober: Prober;
-  readonly backendClient: BackendClient;
-  readonly clock: PauseGuard;
-  readonly random: Random;
-  /** Number of known instances; 0 while it is unknown. */
-  readonly instanceCount: () => number;
-  readonly log: GatewayLog;
-  readonly metrics: GatewayMetrics;
-}
-
 /** Handles one request until it is answered or has failed. */
 export async function runRequest(
   context: RunContext,
@@ -80,7 +60,7 @@
         reason: Failure.Starting,
         retryAfterMs: STARTING_RETRY_MS,
       };
-  report(context, request, matched, end, requestLog);
+  reportEnd(context, request, matched, end, requestLog);
   return end;
 }
 
@@ -97,33 +77,6 @@
   return new RequestRun(context, request, route, service, requestLog).run();
 }
 
-/** Logs the end of a request and updates the metrics. */
-function report(
-  context: RunContext,
-  request: CallerRequest,
-  matched: MatchedRoute | undefined,
-  end: RequestEnd,
-  requestLog: RequestLog,
-): void {
-  const {clock, metrics, deployment} = context;
-  const ms = clock.now() - request.arrivedAt;
-  const route = matched?.route.name ?? 'none';
-  const reason = 'reason' in end ? end.reason : '';
-  const status = end.kind === 'answered' ? end.answer.status : undefined;
-  const isSuccess = end.kind === 'answered' && end.answer.status < SERVER_ERROR;
-  if (!isSuccess) requestLog.writeHeld();
-  requestLog.add('ended', {
-    end: end.kind,
-    reason,
-    status,
-    route,
-    configuration: deployment.routes?.configuration.version,
-    ms: Math.round(ms),
-  });
-  requestLog.end();
-  metrics.requestEnded(route, end.kind, reason || String(status ?? ''), ms);
-}
-
 /** A hedge that was sent. The object keeps `await` from waiting for its end. */
 interface HedgeSend {
   readonly end: Promise<RequestEnd | undefined>;
