--- a/packages/cli/src/command.ts
+++ b/packages/cli/src/command.ts
@@ -62,6 +62,12 @@
       readonly files: readonly string[];
       readonly output: OutputFormat;
     }
+  /** Counts the failed requests in log files. */
+  | {
+      readonly kind: 'summarize';
+      readonly files: readonly string[];
+      readonly output: OutputFormat;
+    }
   | {
       readonly kind: 'run';
       readonly command: Command;
--- a/packages/cli/src/command_line.ts
+++ b/packages/cli/src/command_line.ts
@@ -85,8 +85,14 @@
 
 function explainInvocation(
   values: OptionValues,
-  [request, ...files]: readonly string[],
+  args: readonly string[],
 ): Parsed<Invocation> {
+  if (values.summary) {
+    return outputOf(values).map(output => {
+      return {kind: 'summarize', files: args, output};
+    });
+  }
+  const [request, ...files] = args;
   if (request === undefined) return err('ID is missing; add it');
   return outputOf(values).map(output => {
     return {kind: 'explain', request, files, output};
--- a/packages/cli/src/run.ts
+++ b/packages/cli/src/run.ts
@@ -8,7 +8,7 @@
 import {Output, type Streams} from './output.js';
 import {apply} from './verbs/apply.js';
 import {drain} from './verbs/drain.js';
-import {explain} from './verbs/explain.js';
+import {explain, summarize} from './verbs/explain.js';
 import {get} from './verbs/get.js';
 import {history} from './verbs/history.js';
 import {list} from './verbs/list.js';
@@ -45,6 +45,10 @@
       const output = new Output(invocation.output, streams);
       return explain(output, invocation.request, invocation.files);
     }
+    case 'summarize': {
+      const output = new Output(invocation.output, streams);
+      return summarize(output, invocation.files);
+    }
     case 'run': {
       const {command, connection} = invocation;
       const {server, token, timeoutMs} = connection;
--- a/packages/cli/src/verb_specs.ts
+++ b/packages/cli/src/verb_specs.ts
@@ -152,11 +152,18 @@
   },
   explain: {
     summary: 'show the events of one request from the logs',
-    args: ['ID', '[FILE...]'],
-    options: [],
+    args: ['[ID]', '[FILE...]'],
+    options: [
+      {
+        name: 'summary',
+        help: 'count the failed requests by route and cause; takes no ID',
+      },
+    ],
     details: `Reads log lines of any number of instances from the files, or from standard
 input, and prints those of the request in chronological order, together with
 the state changes that its instances logged for the servers it was sent to.
+With --summary, counts the failed requests by what their callers were told and
+why; successful requests are not counted, as only some of them are logged.
 Connects to no instance; the options for server, token and timeout have no
 effect. The exit code is 1 if no line has the id.`,
   },
--- a/packages/cli/src/verbs/explain.test.ts
+++ b/packages/cli/src/verbs/explain.test.ts
@@ -105,3 +105,54 @@
   const missing = ['explain', 'r1', '/nowhere/at/all.log'];
   t.is(await run(missing, {}, streams, NEVER_ABORTED), ExitCode.Usage);
 });
+
+test('a summary counts failed requests by what was told and why', async t => {
+  const dir = mkdtempSync(join(tmpdir(), 'explain-'));
+  const file = join(dir, 'e.log');
+  const ended = (request: string, fields: object) =>
+    line(1_000, 'e-1', {kind: 'ended', request, route: 'book', ...fields});
+  const sent = (request: string, cost: number) =>
+    line(900, 'e-1', {kind: 'sent', request, server: 'i-1', cost});
+  const lines = [
+    ended('a', {end: 'refused', reason: 'expired'}),
+    ended('b', {end: 'refused', reason: 'expired', omittedBefore: 3}),
+    sent('c', 4.5),
+    ended('c', {end: 'answered', status: 504}),
+    sent('d', 1.1),
+    line(950, 'e-1', {
+      kind: 'send_failed',
+      request: 'd',
+      result: 'lost',
+      detail: 'ECONNRESET',
+    }),
+    ended('d', {end: 'unknown', reason: 'lost'}),
+    ended('e', {end: 'answered', status: 200}),
+    ended('f', {end: 'abandoned', reason: ''}),
+  ];
+  writeFileSync(file, lines.join('\n'));
+  const written = {out: '', err: ''};
+  const streams = {
+    out: (text: string) => void (written.out += text),
+    err: (text: string) => void (written.err += text),
+  };
+  const args = ['explain', '--summary', file];
+  t.is(await run([...args, '-o', 'json'], {}, streams, NEVER_ABORTED), 0);
+  const {failures, omitted} = JSON.parse(written.out) as {
+    failures: {requests: number; told: string; cause: string}[];
+    omitted: number;
+  };
+  t.deepEqual(
+    failures.map(({requests, told, cause}) => [requests, told, cause]),
+    [
+      [2, 'not run', 'too little time was left'],
+      [1, 'server error', 'its deadline passed at a server known to be slow'],
+      [1, 'unknown', 'its answer was lost: ECONNRESET'],
+      [1, 'nothing', 'the caller left first'],
+    ],
+  );
+  t.is(omitted, 3);
+  written.out = '';
+  t.is(await run(args, {}, streams, NEVER_ABORTED), ExitCode.Done);
+  t.regex(written.out, /REQUESTS +ROUTE +TOLD +CAUSE/);
+  rmSync(dir, {recursive: true});
+});
--- a/packages/cli/src/verbs/explain.ts
+++ b/packages/cli/src/verbs/explain.ts
@@ -1,5 +1,6 @@
-/** The verb `explain`: shows the events of one request from logs. */
-import {parseLogLine} from '../explain/log_line.js';
+/** The verb `explain`: shows the events of one request, or a summary, from logs. */
+import {summarizeFailures} from '../explain/failure_summary.js';
+import {type LogLine, parseLogLine} from '../explain/log_line.js';
 import {type TraceStep, traceRequest} from '../explain/request_trace.js';
 import {ExitCode} from '../exit_code.js';
 import {type Output, tableText} from '../output.js';
@@ -7,21 +8,26 @@
 
 const STDIN = '-';
 
+/** Reads the logs and prints the failed requests by cause. */
+export function summarize(output: Output, files: readonly string[]): ExitCode {
+  const lines = readLines(output, files);
+  if (!lines) return ExitCode.Usage;
+  const summary = summarizeFailures(lines);
+  const rows = summary.failures.map(failure => ({...failure}));
+  output.result(summary, () =>
+    [tableText(rows), ...omittedText(summary.omitted)].join('\n'),
+  );
+  return ExitCode.Done;
+}
+
 /** Reads the logs and prints the trace of a request. */
 export function explain(
   output: Output,
   id: string,
   files: readonly string[],
 ): ExitCode {
-  const texts = (files.length > 0 ? files : [STDIN]).map(readText);
-  const unreadable = texts.find(text => text.isErr());
-  if (unreadable?.isErr()) {
-    output.error(unreadable.error, {kind: 'unreadable_file'});
-    return ExitCode.Usage;
-  }
-  const lines = texts
-    .flatMap(text => text.unwrapOr('').split('\n'))
-    .flatMap(line => parseLogLine(line) ?? []);
+  const lines = readLines(output, files);
+  if (!lines) return ExitCode.Usage;
   const trace = traceRequest(id, lines);
   switch (trace.kind) {
     case 'found': {
@@ -46,6 +52,22 @@
   }
 }
 
+/** Reads all lines; undefined after an error that was written. */
+function readLines(
+  output: Output,
+  files: readonly string[],
+): readonly LogLine[] | undefined {
+  const texts = (files.length > 0 ? files : [STDIN]).map(readText);
+  const unreadable = texts.find(text => text.isErr());
+  if (unreadable?.isErr()) {
+    output.error(unreadable.error, {kind: 'unreadable_file'});
+    return undefined;
+  }
+  return texts
+    .flatMap(text => text.unwrapOr('').split('\n'))
+    .flatMap(line => parseLogLine(line) ?? []);
+}
+
 function rowOf({sinceMs, instance, kind, isOwn, fields}: TraceStep) {
   const details = Object.entries(fields)
     .filter(([name]) => name !== 'message')
