--- a/packages/gateway/src/caller/caller_server.ts
+++ b/packages/gateway/src/caller/caller_server.ts
@@ -222,7 +222,10 @@
         return;
       }
       case 'refused':
-        res.setHeader('retry-after', String(end.retryAfterMs / MS_PER_S));
+        res.setHeader(
+          'retry-after',
+          String(Math.ceil(end.retryAfterMs) / MS_PER_S),
+        );
         return this.replyStatus(res, request, 503, end.reason);
       case 'no_route':
         return this.replyStatus(res, request, 404, 'no route');
