Never refuse a caller with all its time because of an estimate

Cause, found by reading: a request was refused at once if the usual duration of its route exceeded the time that its caller had left. Durations of failed requests, which end at deadlines, counted in it; once it exceeded the time of any caller nothing was sent any more, and nothing could correct it.

Change: only successes count as durations, and a duration counts at most as half of the longest time for which callers of the route wait.

Result: shared_service.test.ts, 'callers with all their time are served ...', fails without the second part (seen while it was missing by mistake).

--- a/packages/balancer/src/service/overload_play.test_support.ts
+++ b/packages/balancer/src/service/overload_play.test_support.ts
@@ -176,11 +176,9 @@
       ({request: {played, firstAt}}) =>
         new PlayedRequest(played, firstAt, now, true),
     );
-    const round = placementRound(
-      service,
-      [...waiting, ...returned, ...arrive(now)],
-      now,
-    );
+    const arrived = [...returned, ...arrive(now)];
+    arrived.forEach(({placement}) => service.recordArrival(placement));
+    const round = placementRound(service, [...waiting, ...arrived], now);
     waiting = round.waiting;
     round.dropped.forEach(({request}) => refuse(request, now));
     round.placed.forEach(({request, candidate}) => {
--- a/packages/balancer/src/service/placement_round.test.ts
+++ b/packages/balancer/src/service/placement_round.test.ts
@@ -66,8 +66,10 @@
 }
 
 test('a request without time for an answer is refused at once, also if alone', t => {
+  const service = serviceWithLoad(1);
+  service.recordArrival(waiting(URGENT, 0).placement);
   const {dropped} = placementRound(
-    serviceWithLoad(1),
+    service,
     [waiting(URGENT, 0, BASELINE_MS - 10)],
     START,
   );
--- a/packages/balancer/src/service/shared_service.test.ts
+++ b/packages/balancer/src/service/shared_service.test.ts
@@ -250,6 +250,7 @@
   report(servers[0]!, 0, 1);
   report(servers[1]!, 1, 1.3);
   const endingIn = (ms: number) => ({...requestAt(), endsAt: START + ms});
+  service.recordArrival(requestAt());
   t.is(service.place(endingIn(BASELINE_MS * 1.05), START).kind, 'send');
   t.is(service.place(endingIn(BASELINE_MS * 0.95), START).kind, 'wait');
   t.false(service.canBeServed(endingIn(BASELINE_MS * 0.95), START));
@@ -282,3 +283,15 @@
   const place = service.place(requestAt(), START);
   t.not(place.kind === 'send' && place.candidate.server, servers[2]!);
 });
+
+test('callers with all their time are served, however long requests took before', t => {
+  const {service, servers} = serviceOf(['x']);
+  for (let i = 0; i < 100; i++) service.recordDuration(ROUTE.name, 5_000, 1);
+  report(servers[0]!, 0, 1);
+  const fresh = requestAt();
+  service.recordArrival(fresh);
+  t.true(service.canBeServed(fresh, START));
+  t.is(service.place(fresh, START).kind, 'send');
+  // One that has used up more than half of it would hardly be answered.
+  t.false(service.canBeServed({...fresh, endsAt: START + 400}, START));
+});
--- a/packages/balancer/src/service/shared_service.ts
+++ b/packages/balancer/src/service/shared_service.ts
@@ -60,6 +60,14 @@
 const GOOD_LATENCY_FACTOR = 1.2;
 /** Shortest duration of a request, as a multiple of the baseline. */
 const SHORTEST_LATENCY_FACTOR = 1;
+/**
+ * Largest share of the usual patience of a route's callers that its baseline may
+ * take in the decision whether a request still fits. Callers with all their time
+ * are never refused because of an estimate: it could not be corrected any more.
+ */
+const MAX_PATIENCE_SHARE = 0.5;
+/** Factor by which the known patience shrinks with each caller who has less. */
+const PATIENCE_DECAY = 0.999;
 /**
  * Baseline assumed before the first measurement, as a fraction of the target.
  */
@@ -111,6 +119,8 @@
   private readonly byId = new Map<string, SharedServer>();
   /** Usual duration of a request on an idle server, by route, milliseconds. */
   private readonly baselines = new Map<string, number>();
+  /** Longest time for which callers of a route wait, milliseconds. */
+  private readonly patience = new Map<string, number>();
 
   constructor(
     readonly name: string,
@@ -206,7 +216,14 @@
     return this.fits(request, SHORTEST_LATENCY_FACTOR, now);
   }
 
-  /** Records the duration of a request on a server with this expected cost. */
+  /** Records the time for which the caller of a new request waits. */
+  recordArrival({route, arrivedAt, endsAt}: PlacementRequest): void {
+    const known = this.patience.get(route.name) ?? 0;
+    const waitsMs = endsAt - arrivedAt;
+    this.patience.set(route.name, Math.max(waitsMs, known * PATIENCE_DECAY));
+  }
+
+  /** Records the duration of a successful request on a server with this expected cost. */
   recordDuration(route: string, ms: number, cost: number): void {
     // Durations on slow servers reflect the server rather than the request.
     if (cost > MAX_GOOD_COST && this.baselines.has(route)) return;
@@ -236,9 +253,9 @@
     latencyFactor: number,
     now: number,
   ): boolean {
-    return (
-      now + latencyFactor * (this.baselines.get(route.name) ?? 0) <= endsAt
-    );
+    const baselineMs = this.baselines.get(route.name) ?? 0;
+    const maxMs = (this.patience.get(route.name) ?? 0) * MAX_PATIENCE_SHARE;
+    return now + latencyFactor * Math.min(baselineMs, maxMs) <= endsAt;
   }
 
   /** Decides where to send a request if no server is good. */
--- a/packages/gateway/src/request/request_queue.ts
+++ b/packages/gateway/src/request/request_queue.ts
@@ -64,6 +64,7 @@
     placement: PlacementRequest,
     callerGone: AbortSignal,
   ): Promise<QueueResult> {
+    this.service.recordArrival(placement);
     return new Promise(resolve => {
       this.requests.push(new QueuedRequest(placement, callerGone, resolve));
       if (this.running) this.wake();
--- a/packages/gateway/src/request/request_run.ts
+++ b/packages/gateway/src/request/request_run.ts
@@ -289,7 +289,7 @@
       });
     }
     this.recordResult(server, result, now, now - startedAt);
-    if (result.kind === 'answered') {
+    if (result.kind === 'answered' && result.answer.status < SERVER_ERROR) {
       service.recordDuration(route.name, now - startedAt, cost);
     }
     return this.resultToEnd(result);
