--- a/packages/balancer/src/service/placement_round.test.ts
+++ b/packages/balancer/src/service/placement_round.test.ts
@@ -87,6 +87,18 @@
   });
 });
 
+test('a late request waits if no other is in time, or if it was sent before', t => {
+  const late = waiting(NORMAL, 350);
+  const alone = placementRound(serviceWithLoad(1), [late], START);
+  t.deepEqual([alone.dropped, alone.waiting], [[], [late]]);
+  const {placement} = late;
+  const sent = {...late, placement: {...placement, tried: new Set(['y'])}};
+  const timely = Array.from({length: 5}, () => waiting(NORMAL, 0));
+  const busy = placementRound(serviceWithLoad(1), [sent, ...timely], START);
+  t.deepEqual(busy.dropped, []);
+  t.is(busy.waiting.length, 6);
+});
+
 test('a late urgent request goes before a less urgent one that is in time', t => {
   const late = waiting(URGENT, 350);
   const timely = waiting(NORMAL, 0);
--- a/packages/balancer/src/service/shared_service.test.ts
+++ b/packages/balancer/src/service/shared_service.test.ts
@@ -182,7 +182,8 @@
         maxLength: 300,
       }),
       steps => {
-        const limits = {ratio: 0.2, extra: 3, windowMs: 10_000};
+        // One of 1.25 shares: three repeated sends.
+        const limits = {ratio: 0.2, extra: 3.75, windowMs: 10_000};
         const budget = new RepeatBudget(limits, ALONE);
         let now = START;
         const requests: number[] = [];
