Check the syntax of header fields whatever the parser lets pass

An identity or deadline under such a name is not recognised here and may be by the next hop.

Cause: both callers' servers trusted the parser for names.

Change: one function checks names and values (RFC 9110): heads and trailers at both callers' servers, requests between instances, fields of answers that are forwarded.

--- a/packages/balancer/src/testing/fake_backend.ts
+++ b/packages/balancer/src/testing/fake_backend.ts
@@ -1,6 +1,7 @@
 /** In-memory backend servers for tests. */
 import {ServerState} from '@ragworthall/contracts';
 import type {Attempt, BackendLink, Call, ProbeResult} from '../link/call.js';
+import {offAbort, onAbort} from '../link/abort.js';
 import type {Timers} from '../link/clock.js';
 
 /** Result that a server returns for an attempt, after a delay. */
@@ -48,11 +49,15 @@
     this.sent.push({address, call, at: this.time.now()});
     const {delayMs, attempt} = this.behave(address, call);
     return new Promise(resolve => {
-      const abandon = () => resolve({kind: 'abandoned', cause: 'caller_left'});
-      signal.addEventListener('abort', abandon);
-      this.time.set(delayMs, () => resolve(attempt));
+      const end = (result: Attempt) => {
+        offAbort(signal, abandon);
+        resolve(result);
+      };
+      const abandon = () => end({kind: 'abandoned', cause: 'caller_left'});
+      onAbort(signal, abandon);
+      this.time.set(delayMs, () => end(attempt));
       this.time.set(timeoutMs, () =>
-        resolve({kind: 'abandoned', cause: 'deadline'}),
+        end({kind: 'abandoned', cause: 'deadline'}),
       );
     });
   }
--- a/packages/daemon/src/caller/caller_connection.ts
+++ b/packages/daemon/src/caller/caller_connection.ts
@@ -42,6 +42,7 @@
   CallHandler,
 } from './caller_handler.js';
 import {requestHeadOf, singleValue, callerRequestOf} from './caller_request.js';
+import {areValidFields} from './header_syntax.js';
 import {Inbox} from './inbox.js';
 import type {MemberConnections} from './member_connections.js';
 import type {Grant, MemberAdmission} from './member_admission.js';
@@ -215,6 +216,8 @@
     const read = await readBody(req, bodyBytes, bodyMs);
     if (read.kind !== 'complete')
       return await this.handleUnreadBody(pending, read);
+    if (!areValidFields(req.rawTrailers))
+      return await this.refuse(pending, MessageFault.HeaderMalformed);
     await this.answerCall(pending, target, read.body);
   }
 
@@ -279,7 +282,10 @@
     // would lose the refusal.
     if (!pending.expectsContinue) await discardBody(req, DISCARD_TIMEOUT_MS);
     if (res.destroyed) return;
-    if (!req.complete) res.setHeader('connection', 'close');
+    // A caller whose fields are malformed may frame its messages differently.
+    const isMisread = refusal === MessageFault.HeaderMalformed;
+    if (isMisread) this.queue.close();
+    if (isMisread || !req.complete) res.setHeader('connection', 'close');
     const responseBody = await this.createRefusal(req, refusal);
     const status =
       typeof refusal === 'string'
--- a/packages/daemon/src/caller/header_filter.ts
+++ b/packages/daemon/src/caller/header_filter.ts
@@ -1,4 +1,5 @@
 /** Selects the headers forwarded between callers and backend servers. */
+import {isValidField} from './header_syntax.js';
 
 /** Headers that are meant for a single connection (RFC 9110, section 7.6.1). */
 const HOP_BY_HOP = new Set([
@@ -30,9 +31,6 @@
 ]);
 const INTERNAL_PREFIX = 'x-request-';
 
-/** Matches valid header values (RFC 9110, section 5.5). */
-const VALID_VALUE = /^[\t\x20-\x7e\x80-\xff]*$/;
-
 /** Status codes whose answers have neither a body nor a Content-Length. */
 const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 
@@ -74,7 +72,7 @@
     (name, value) =>
       !isInternal(name) &&
       (keepsContentLength || name !== 'content-length') &&
-      VALID_VALUE.test(value),
+      isValidField(name, value),
   );
 }
 
--- a/packages/daemon/src/caller/message_check.ts
+++ b/packages/daemon/src/caller/message_check.ts
@@ -1,6 +1,7 @@
 /** Checks of a request's head that Node's HTTP parser does not make. */
 import {CallerHeader} from '@ragworthall/contracts';
 import type {IncomingMessage} from 'node:http';
+import {areValidFields} from './header_syntax.js';
 import {MessageFault} from './message_fault.js';
 
 /**
@@ -23,6 +24,7 @@
 /** Returns the fault of a request's head; undefined if it is valid. */
 export function faultOfHead(req: IncomingMessage): MessageFault | undefined {
   if (req.httpVersion !== '1.1') return MessageFault.VersionUnsupported;
+  if (!areValidFields(req.rawHeaders)) return MessageFault.HeaderMalformed;
   if (hasRepeatedSingleton(req.rawHeaders)) return MessageFault.HeaderRepeated;
   const coding = req.headers['transfer-encoding'];
   if (coding !== undefined && coding.toLowerCase() !== 'chunked') {
--- a/packages/daemon/src/peer/message.ts
+++ b/packages/daemon/src/peer/message.ts
@@ -11,6 +11,7 @@
 import type {CallResult} from '@ragworthall/balancer';
 import type {ServiceId} from '@ragworthall/contracts';
 import * as z from 'zod';
+import {areValidFields} from '../caller/header_syntax.js';
 import {frameCodec} from './frame_codec.js';
 
 /** Protocol version; instances with different versions refuse to link. */
@@ -103,6 +104,10 @@
 });
 
 const rawHeaders = z.array(z.string());
+const requestHeaders = rawHeaders.refine(
+  areValidFields,
+  'invalid header field',
+);
 
 const call = z.object({
   kind: z.literal('call'),
@@ -114,7 +119,7 @@
   rank: z.union([z.literal(1), z.literal(2), z.literal(3)]),
   method: z.string(),
   path: z.string(),
-  headers: rawHeaders,
+  headers: requestHeaders,
   body: bytes,
   key: z.string().optional(),
   remainingMs: z.number(),
--- a/packages/gateway/src/caller/caller_connection.ts
+++ b/packages/gateway/src/caller/caller_connection.ts
@@ -66,6 +66,11 @@
     return isLast;
   }
 
+  /** Accepts no further requests; those in flight are answered. */
+  endAfterCurrent(): void {
+    this.closeAnnounced = true;
+  }
+
   /**
    * Closes the connection unless it is in use. A request that arrives while the
    * close is on its way is not served: its caller could not read the answer.
--- a/packages/gateway/src/caller/caller_server.ts
+++ b/packages/gateway/src/caller/caller_server.ts
@@ -1,5 +1,5 @@
 /** HTTP/1.1 server for callers: parses requests and writes answers. */
-import {removeHopByHopHeaders} from '@ragworthall/daemon';
+import {areValidFields, removeHopByHopHeaders} from '@ragworthall/daemon';
 import type {CallerRequestLimits, Clock} from '@ragworthall/balancer';
 import {
   createServer,
@@ -131,6 +131,9 @@
     const arrivedAt = this.clock.now();
     const connection = this.connections.get(req.socket);
     if (!connection?.accept(res)) return;
+    // A caller whose fields are malformed may frame its messages differently:
+    // nothing that follows on its connection is served.
+    if (!areValidFields(req.rawHeaders)) connection.endAfterCurrent();
     const body = await readBody(req, this.limits.bodyBytes);
     switch (body.kind) {
       case 'truncated':
@@ -144,6 +147,11 @@
         body satisfies never;
         return;
     }
+    if (!areValidFields([...req.rawHeaders, ...req.rawTrailers])) {
+      connection.endAfterCurrent();
+      res.writeHead(400, {connection: 'close'}).end('malformed header field\n');
+      return;
+    }
     const request = this.parseRequest(
       req,
       body.bytes,
