Hear what servers state of themselves, log and count its changes

Limit, leaving and rest are decoded once, from the head of every answer: of requests, health probes, rejections and answers that break off. One line and one count when what is believed of a server changes, with the value before and after; malformed values change nothing and cost one line. Nothing acts on it yet.

--- a/packages/balancer/src/backend_server/shared_server.ts
+++ b/packages/balancer/src/backend_server/shared_server.ts
@@ -4,6 +4,8 @@
  * which are out of date within a fraction of a second.
  */
 
+import {type ShareOfLimit, StatedNeeds, WHOLE_LIMIT} from './stated_needs.js';
+
 /** Whether a backend server accepts new requests, according to the registry. */
 export const EntryState = {
   Ready: 'ready',
@@ -85,6 +87,8 @@
   loadQueriedAt = -Infinity;
   /** Whether the latest load query is unanswered. */
   isLoadQueryPending = false;
+  /** What it states of itself. */
+  readonly needs: StatedNeeds;
   private report: LoadReport | undefined;
   /** Send times of requests that the latest report does not include. */
   private unreportedSends: number[] = [];
@@ -99,7 +103,9 @@
   constructor(
     public entry: ServerEntry,
     now: number,
+    shareOfLimit: ShareOfLimit = WHOLE_LIMIT,
   ) {
+    this.needs = new StatedNeeds(shareOfLimit);
     this.warmUpEndsAt = now + entry.warmUpMs;
   }
 
--- a/packages/balancer/src/instance/deployment.test.ts
+++ b/packages/balancer/src/instance/deployment.test.ts
@@ -5,6 +5,7 @@
 import {SeededRandom} from '../link/random.js';
 import type {RoutingConfiguration} from '../route/route.js';
 import {Deployment, UpdateOutcome} from './deployment.js';
+import {LimitShares} from './limit_shares.js';
 import {LapsedServers} from './lapsed_servers.js';
 
 const NOW = 1_000;
@@ -13,6 +14,7 @@
   return new Deployment({
     fleet: {instanceCount: () => 1, restartedAt: -Infinity},
     failureDomain: 'a',
+    limitShares: new LimitShares('e', () => ['e']),
     budget: {ratio: 0.2, extra: 1, windowMs: 10_000},
     random: new SeededRandom(1),
   });
--- a/packages/balancer/src/instance/deployment.ts
+++ b/packages/balancer/src/instance/deployment.ts
@@ -14,6 +14,7 @@
   RepeatBudget,
   type RepeatBudgetLimits,
 } from '../service/repeat_budget.js';
+import type {LimitShares} from './limit_shares.js';
 import {isAtLeastAsRecent, SharedService} from '../service/shared_service.js';
 
 /** Options of a deployment. */
@@ -22,6 +23,7 @@
   readonly failureDomain: string;
   readonly budget: RepeatBudgetLimits;
   readonly fleet: FleetView;
+  readonly limitShares: LimitShares;
   readonly random: Random;
 }
 
@@ -129,6 +131,7 @@
     const server = this.servers.get(id);
     if (!server) return false;
     this.servers.delete(id);
+    this.options.limitShares.forget(id);
     this.service(server.entry.service).remove(id);
     return true;
   }
@@ -146,7 +149,10 @@
   }
 
   private addServer(entry: ServerEntry, now: number): UpdateOutcome {
-    const server = new SharedServer(entry, now);
+    const {limitShares} = this.options;
+    const server = new SharedServer(entry, now, perS =>
+      limitShares.shareOf(entry.id, perS),
+    );
     this.servers.set(entry.id, server);
     this.service(entry.service).put(server);
     return UpdateOutcome.Taken;
--- a/packages/balancer/src/instance/update_sources.ts
+++ b/packages/balancer/src/instance/update_sources.ts
@@ -37,6 +37,8 @@
 /** Selects the update sources of one instance. */
 export class UpdateSources {
   private instances: readonly InstanceEntry[] = [];
+  /** Ids of all instances; replaced by another list whenever they change. */
+  instanceIds: readonly string[] = [];
   private readonly backoffs = new Map<string, Backoff>();
 
   constructor(private readonly self: InstanceEntry) {}
@@ -44,6 +46,7 @@
   /** Sets the instances of the fleet. */
   setInstances(instances: readonly InstanceEntry[]): void {
     this.instances = [...instances].sort((a, b) => (a.id < b.id ? -1 : 1));
+    this.instanceIds = this.instances.map(({id}) => id);
   }
 
   /** Number of known instances. */
--- a/packages/gateway/src/backend_server/backend_client.ts
+++ b/packages/gateway/src/backend_server/backend_client.ts
@@ -2,8 +2,13 @@
  * Sends requests and probes to backend servers and translates the answers into
  * the balancer's types. Makes no decisions.
  */
-import type {LoadReport, SharedServer} from '@ragworthall/balancer';
-import type {WireFormat} from '../platform/wire_format.js';
+import {
+  type LoadReport,
+  type SharedServer,
+  type StatementsOfMessage,
+  StatementSource,
+} from '@ragworthall/balancer';
+import type {AnswerHead, WireFormat} from '../platform/wire_format.js';
 import {AnswerMemory, type AnswerLimits} from './answer_memory.js';
 import type {OutgoingRequest} from './backend_connection.js';
 import {BackendConnectionPool} from './backend_connection_pool.js';
@@ -43,6 +48,12 @@
   | {readonly kind: 'misplaced'}
   | {readonly kind: 'failed'; readonly detail: string};
 
+/** Receives what a server states of itself, as soon as the head of its answer is in. */
+export type StatementListener = (
+  server: SharedServer,
+  message: StatementsOfMessage,
+) => void;
+
 /** The client of all backend servers, with a connection pool for each. */
 export class BackendClient implements Disposable {
   private readonly pools = new Map<string, BackendConnectionPool>();
@@ -52,6 +63,7 @@
   constructor(
     private readonly wire: WireFormat,
     limits: AnswerLimits,
+    private readonly onStatements: StatementListener,
   ) {
     this.memory = new AnswerMemory(limits);
   }
@@ -76,6 +88,12 @@
       giveUpMs,
       maxIdleMs,
       signal,
+      head => {
+        const answeredId = fieldOf(head, headers.requestId);
+        const isOther = answeredId !== undefined && answeredId !== dispatch.id;
+        if (isOther || head.status === MISDIRECTED) return;
+        this.hear(server, head, StatementSource.Answer);
+      },
     );
     switch (result.kind) {
       case 'message':
@@ -110,12 +128,17 @@
       timeoutMs,
       PROBE_IDLE_MS,
       signal,
+      head => {
+        const answering = fieldOf(head, this.wire.headers.serverId);
+        if (answering !== undefined && answering !== server.entry.id) return;
+        this.hear(server, head, StatementSource.HealthAnswer);
+      },
     );
     if (result.kind !== 'message') {
       const detail = 'detail' in result ? result.detail : result.kind;
       return {kind: 'failed', detail};
     }
-    const id = headerValue(result, this.wire.headers.serverId);
+    const id = fieldOf(result, this.wire.headers.serverId);
     if (id !== undefined && id !== server.entry.id) return {kind: 'misplaced'};
     return {
       kind: 'answered',
@@ -139,16 +162,16 @@
     const {headers} = this.wire;
     const {status, body} = message;
     const load = this.loadReportOf(message);
-    const echoedId = headerValue(message, headers.requestId);
+    const echoedId = fieldOf(message, headers.requestId);
     if (status === MISDIRECTED) return {kind: 'not_run', misplaced: true, load};
-    if (headerValue(message, headers.notRun) !== undefined) {
+    if (fieldOf(message, headers.notRun) !== undefined) {
       return {kind: 'not_run', misplaced: false, load};
     }
     if (echoedId === undefined) {
       return {kind: 'lost', detail: 'the answer has no request id'};
     }
     const isSuccess = status >= SUCCESS.first && status <= SUCCESS.last;
-    if (isSuccess && headerValue(message, headers.signature) === undefined) {
+    if (isSuccess && fieldOf(message, headers.signature) === undefined) {
       return {kind: 'lost', detail: 'the answer is not signed'};
     }
     const flatHeaders = Object.entries(message.headers).flatMap(
@@ -161,8 +184,17 @@
     };
   }
 
+  private hear(
+    server: SharedServer,
+    head: AnswerHead,
+    source: StatementSource,
+  ): void {
+    const parsed = this.wire.parseStatements(head, Date.now());
+    this.onStatements(server, {source, ...parsed});
+  }
+
   private loadReportOf(message: Message): LoadReport | undefined {
-    const value = headerValue(message, this.wire.headers.load);
+    const value = fieldOf(message, this.wire.headers.load);
     return value === undefined ? undefined : this.wire.parseLoad(value);
   }
 
@@ -174,7 +206,7 @@
       entry.address,
       this.memory,
       (message, id) => {
-        const named = headerValue(message, this.wire.headers.requestId);
+        const named = fieldOf(message, this.wire.headers.requestId);
         return named === undefined || named === id;
       },
     );
@@ -183,7 +215,7 @@
   }
 }
 
-function headerValue(message: Message, name: string): string | undefined {
-  const value = message.headers[name];
+function fieldOf(head: AnswerHead, name: string): string | undefined {
+  const value = head.headers[name];
   return Array.isArray(value) ? value[0] : value;
 }
--- a/packages/gateway/src/backend_server/backend_connection.ts
+++ b/packages/gateway/src/backend_server/backend_connection.ts
@@ -2,7 +2,7 @@
 import {connect, type Socket} from 'node:net';
 import {Client, type Dispatcher} from 'undici';
 import type {AnswerMemory} from './answer_memory.js';
-import {Exchange, type ExchangeResult} from './exchange.js';
+import {Exchange, type ExchangeResult, type HeadListener} from './exchange.js';
 
 /** Idle time after which a connection is closed unless the server announces one, milliseconds. */
 const IDLE_TIMEOUT_MS = 60_000;
@@ -74,6 +74,7 @@
     prepare: () => OutgoingRequest,
     timeoutMs: number,
     signal: AbortSignal,
+    onHead: HeadListener = () => undefined,
   ): Promise<ExchangeResult> {
     const startedAt = performance.now();
     if (!this.isOpen) {
@@ -84,7 +85,7 @@
     if (leftMs <= 0) {
       return {kind: 'not_sent', detail: 'late before it was sent'};
     }
-    const exchange = new Exchange(this, this.memory, leftMs, signal);
+    const exchange = new Exchange(this, this.memory, leftMs, signal, onHead);
     this.current = exchange;
     this.bytesReadBefore = this.socket?.bytesRead ?? 0;
     const request = prepare();
--- a/packages/gateway/src/backend_server/backend_connection_pool.ts
+++ b/packages/gateway/src/backend_server/backend_connection_pool.ts
@@ -1,7 +1,7 @@
 /** Pool of connections to one backend server. */
 import type {AnswerMemory} from './answer_memory.js';
 import {BackendConnection, type OutgoingRequest} from './backend_connection.js';
-import type {ExchangeResult, Message} from './exchange.js';
+import type {ExchangeResult, HeadListener, Message} from './exchange.js';
 
 /** Time limit for opening a connection, milliseconds. */
 const OPEN_TIMEOUT_MS = 400;
@@ -46,10 +46,16 @@
     timeoutMs: number,
     maxIdleMs: number,
     signal: AbortSignal,
+    onHead: HeadListener,
   ): Promise<ExchangeResult> {
     const connection = this.acquire(maxIdleMs);
     this.busy.add(connection);
-    const result = await connection.exchange(prepare, timeoutMs, signal);
+    const result = await connection.exchange(
+      prepare,
+      timeoutMs,
+      signal,
+      onHead,
+    );
     this.busy.delete(connection);
     if (result.kind === 'message' && !this.belongs(result, id)) {
       connection[Symbol.dispose]();
--- a/packages/gateway/src/backend_server/exchange.ts
+++ b/packages/gateway/src/backend_server/exchange.ts
@@ -1,6 +1,7 @@
 /** One request and its answer on a connection to a backend server. */
 import {offAbort, onAbort} from '@ragworthall/balancer';
 import type {Dispatcher} from 'undici';
+import type {AnswerHead} from '../platform/wire_format.js';
 import type {AnswerMemory} from './answer_memory.js';
 import type {BackendConnection} from './backend_connection.js';
 
@@ -29,6 +30,9 @@
 /** Lower status codes announce that the final answer is still to come. */
 const FIRST_FINAL_STATUS = 200;
 
+/** Receives the head of an answer, which may still be broken off. */
+export type HeadListener = (head: AnswerHead) => void;
+
 /** Buffers the answer to one request. */
 export class Exchange implements Dispatcher.DispatchHandler {
   /** Resolves when the exchange has ended. Never rejects. */
@@ -52,6 +56,7 @@
     private readonly memory: AnswerMemory,
     timeoutMs: number,
     private readonly signal: AbortSignal,
+    private readonly onHead: HeadListener,
   ) {
     this.ended = new Promise(resolve => (this.resolve = resolve));
     // After the process was paused, an answer may be waiting in the socket: read it
@@ -97,6 +102,7 @@
     clearTimeout(this.headTimer);
     this.status = status;
     this.headers = headers;
+    this.onHead({status, headers});
   }
 
   onResponseData(
--- a/packages/gateway/src/caller/caller_server.test.ts
+++ b/packages/gateway/src/caller/caller_server.test.ts
@@ -16,6 +16,11 @@
     load: 'x-load',
   },
   parseLoad: () => undefined,
+  parseStatements: () => ({
+    statements: [],
+    malformed: new Map(),
+    isLimitUnreadable: false,
+  }),
 };
 
 /** Answers with the status that the path names; `/throws` fails. */
--- a/packages/gateway/src/instance/gateway.ts
+++ b/packages/gateway/src/instance/gateway.ts
@@ -1,6 +1,7 @@
 /** An entry instance on a platform whose store holds the registry and the configuration. */
 import {
   Deployment,
+  LimitShares,
   ProbeRateLimiter,
   type Random,
   type RoutingConfiguration,
@@ -12,6 +13,7 @@
 import type {AnswerLimits} from '../backend_server/answer_memory.js';
 import {BackendClient} from '../backend_server/backend_client.js';
 import {Prober} from '../backend_server/prober.js';
+import {StatementRecorder} from '../backend_server/statement_recorder.js';
 import {CallerServer} from '../caller/caller_server.js';
 import type {GatewayLog} from '../log/gateway_log.js';
 import type {GatewayMetrics} from '../metrics/gateway_metrics.js';
@@ -118,9 +120,18 @@
         instanceCount: () => newsExchange.instanceCount,
         restartedAt: options.isFirstStart ? -Infinity : clock.now(),
       },
+      limitShares: new LimitShares(
+        options.instance,
+        () => newsExchange.instanceIds,
+      ),
       random,
     });
-    this.backendClient = new BackendClient(wire, options.answerLimits);
+    const statements = new StatementRecorder(clock, log, metrics);
+    this.backendClient = new BackendClient(
+      wire,
+      options.answerLimits,
+      (server, message) => statements.record(server, message),
+    );
     const probeRateLimiter = new ProbeRateLimiter(() => ({
       perServerPerS: options.probesPerServerPerS,
       servers: this.deployment.serversTakingWork,
--- a/packages/gateway/src/metrics/gateway_metrics.ts
+++ b/packages/gateway/src/metrics/gateway_metrics.ts
@@ -55,6 +55,12 @@
     registers: [this.registry],
   });
 
+  private readonly statements = new Counter({
+    name: 'ragworthall_server_statements_total',
+    help: 'Changes of what servers state of themselves, by statement and source',
+    labelNames: ['service', 'statement', 'source'],
+    registers: [this.registry],
+  });
   private readonly newsMessages = new Counter({
     name: 'ragworthall_news_total',
     help: 'News of the platform’s store from other instances, by table and kind',
@@ -102,6 +108,11 @@
     this.newsMessages.inc({table, kind});
   }
 
+  /** Counts a change of what a server states of itself. */
+  statementChanged(service: string, statement: string, source: string): void {
+    this.statements.inc({service, statement, source});
+  }
+
   /** Returns all metrics in the Prometheus text format. */
   text(): Promise<string> {
     return this.registry.metrics();
--- a/packages/gateway/src/peer/news_exchange.ts
+++ b/packages/gateway/src/peer/news_exchange.ts
@@ -111,6 +111,11 @@
     return this.sources.size;
   }
 
+  /** Ids of the known instances; empty until the list has been read. */
+  get instanceIds(): readonly string[] {
+    return this.sources.instanceIds;
+  }
+
   /** Whether the list of instances has been read. */
   get isFleetKnown(): boolean {
     return this.sources.size > 0;
--- a/packages/gateway/src/platform/wire_format.ts
+++ b/packages/gateway/src/platform/wire_format.ts
@@ -1,5 +1,5 @@
 /** The platform's header names and formats in messages of callers and backend servers. */
-import type {LoadReport} from '@ragworthall/balancer';
+import type {LoadReport, StatementsOfMessage} from '@ragworthall/balancer';
 
 /** Header names, in lower case. */
 export interface HeaderNames {
@@ -19,9 +19,25 @@
   readonly load: string;
 }
 
+/** Status and headers of a backend server's answer. */
+export interface AnswerHead {
+  readonly status: number;
+  /** By name in lower case; repeated headers are lists. */
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+}
+
 /** How a platform encodes the metadata of requests and answers. */
 export interface WireFormat {
   readonly headers: HeaderNames;
   /** Parses the load header; undefined if it is malformed. */
   parseLoad(value: string): LoadReport | undefined;
+  /**
+   * Parses what a server states of itself in the head of an answer.
+   *
+   * @param wallNow Time of day, Unix milliseconds.
+   */
+  parseStatements(
+    head: AnswerHead,
+    wallNow: number,
+  ): Omit<StatementsOfMessage, 'source'>;
 }
