Refuse a request at once if no untried server takes it

Callers saw: a request that the only server of its service had rejected waited for another server until its deadline (20.2 s in statements.test.ts).

Cause: a request without candidates counted as one that waits for capacity.

Change: if servers of the service are known and none that takes requests is untried, the request ends at once: not run if that is certain. While no server is known at all it waits as before; entries may be on their way back.

--- a/packages/balancer/src/service/placement_round.ts
+++ b/packages/balancer/src/service/placement_round.ts
@@ -157,6 +157,7 @@
   const {request, placement} = entry;
   if (request.isAbandoned) return DropReason.CallerLeft;
   if (!service.canBeServed(placement, now)) return DropReason.NoTime;
+  if (!service.hasServerFor(placement)) return DropReason.NoCapacity;
   // A request that was sent before may have been executed; another attempt is
   // the only way to a certain answer.
   if (entry.isTimely || placement.tried.size > 0) return undefined;
--- a/packages/balancer/src/service/shared_service.ts
+++ b/packages/balancer/src/service/shared_service.ts
@@ -199,6 +199,18 @@
     return this.fits(request, SHORTEST_LATENCY_FACTOR, now);
   }
 
+  /**
+   * Whether a server accepts the request that was not sent it before; true while
+   * no server of the service is known.
+   */
+  hasServerFor({tried}: PlacementRequest): boolean {
+    const servers = [...this.byId.values()];
+    return (
+      servers.length === 0 ||
+      servers.some(s => s.acceptsRequests && !tried.has(s.entry.id))
+    );
+  }
+
   /**
    * Servers that accept requests but are closed for the moment; empty if any
    * server is open.
