Send nothing to servers that leave or want to rest, also no probes

Since a server that has stated that it leaves, or asked for rest with a 503, is no candidate. What was left:

- Its entry may lapse in an outage and come back as it was; the deployment remembers processes that left and were removed, until they restart.
- Health probes are requests to a server that wants none, and were sent on behalf of hedges.

--- a/packages/balancer/src/backend_server/stated_needs.ts
+++ b/packages/balancer/src/backend_server/stated_needs.ts
@@ -40,6 +40,11 @@
     return this.limitPerS !== undefined;
   }
 
+  /** Whether the server wants nothing from this instance now, probes included. */
+  wantsNothing(now: number): boolean {
+    return this.leaving || now < this.restUntil;
+  }
+
   /** Time between two requests of this instance, milliseconds; 0 without a limit. */
   get sendIntervalMs(): number {
     return this.isLimited ? MS_PER_S / this.ratePerS : 0;
--- a/packages/balancer/src/instance/deployment.test.ts
+++ b/packages/balancer/src/instance/deployment.test.ts
@@ -82,3 +82,17 @@
   t.deepEqual(lapsed.takeExpired(NOW + 2_300), ['b']);
   t.false(lapsed.retain('a', NOW + 2_400));
 });
+
+test('a server that announced its leaving is not used again until it has restarted', t => {
+  const deployment = createDeployment();
+  deployment.putServer(serverEntry({startedAt: 5}), NOW);
+  deployment.server('x')!.needs.markLeaving();
+  deployment.putServer(serverEntry({startedAt: 5, sequence: 9}), NOW);
+  t.is(deployment.serversTakingWork, 0);
+  // Its entry lapses in an outage of the store and comes back as it was.
+  deployment.removeServer('x');
+  deployment.putServer(serverEntry({startedAt: 5}), NOW);
+  t.is(deployment.serversTakingWork, 0);
+  deployment.putServer(serverEntry({startedAt: 6}), NOW);
+  t.is(deployment.serversTakingWork, 1);
+});
--- a/packages/balancer/src/instance/deployment.ts
+++ b/packages/balancer/src/instance/deployment.ts
@@ -28,6 +28,9 @@
   readonly random: Random;
 }
 
+/** Number of processes that have left and are remembered. */
+const MAX_LEFT = 10_000;
+
 /** Result of an update to the deployment. */
 export const UpdateOutcome = {
   Taken: 'taken',
@@ -46,6 +49,11 @@
   private knownListener: (() => void) | undefined;
   private readonly services = new Map<string, SharedService>();
   private readonly servers = new Map<string, SharedServer>();
+  /**
+   * Server processes that announced that they leave and whose entries are gone,
+   * by id: an older row may name them again.
+   */
+  private readonly left = new Map<string, number>();
 
   constructor(private readonly options: DeploymentOptions) {}
 
@@ -132,6 +140,7 @@
     const server = this.servers.get(id);
     if (!server) return false;
     this.servers.delete(id);
+    if (server.needs.isLeaving) this.rememberLeft(server.entry);
     this.options.limitShares.forget(id);
     this.service(server.entry.service).remove(id);
     return true;
@@ -154,11 +163,22 @@
     const server = new SharedServer(entry, now, perS =>
       limitShares.shareOf(entry.id, perS),
     );
+    if (this.left.get(entry.id) === entry.startedAt) server.needs.markLeaving();
+    else this.left.delete(entry.id);
     this.servers.set(entry.id, server);
     this.service(entry.service).put(server);
     return UpdateOutcome.Taken;
   }
 
+  private rememberLeft({id, startedAt}: ServerEntry): void {
+    // Insertion order: the one that left first is forgotten first.
+    this.left.delete(id);
+    this.left.set(id, startedAt);
+    const oldest = this.left.keys().next();
+    if (this.left.size > MAX_LEFT && !oldest.done)
+      this.left.delete(oldest.value);
+  }
+
   private settingsOf(name: string) {
     return this.routeTable?.configuration.services.find(s => s.name === name);
   }
--- a/packages/gateway/src/backend_server/prober.ts
+++ b/packages/gateway/src/backend_server/prober.ts
@@ -29,7 +29,7 @@
 
   /**
    * Probes a server; resolves when its state has been updated. Returns undefined
-   * if the rate limit of probes is reached.
+   * if the rate limit of probes is reached or the server wants none.
    */
   probe(
     service: SharedService,
@@ -38,6 +38,7 @@
     const {id} = server.entry;
     const running = this.running.get(id);
     if (running) return running;
+    if (server.needs.wantsNothing(this.clock.now())) return undefined;
     if (!this.rateLimiter.tryTake(this.clock.now())) return undefined;
     const probe = this.runProbe(service, server).finally(() =>
       this.running.delete(id),
