Do not take an earlier refusal without an id for the one that waits

Callers would see: 503, not run, for a request that a server is running, and such a request might run at a second server.

Cause: an answer without a request id counted as the answer to the request that waits; refusals were accepted before the id was looked at.

Change: a connection whose answer names no request is not used again, so that none of its answers can come twice for two requests. Answers that name another request were refused before.

--- a/packages/gateway/src/backend_server/backend_client.ts
+++ b/packages/gateway/src/backend_server/backend_client.ts
@@ -11,7 +11,7 @@
 import type {AnswerHead, WireFormat} from '../platform/wire_format.js';
 import {AnswerMemory, type AnswerLimits} from './answer_memory.js';
 import type {OutgoingRequest} from './backend_connection.js';
-import {BackendConnectionPool} from './backend_connection_pool.js';
+import {Attribution, BackendConnectionPool} from './backend_connection_pool.js';
 import type {Message} from './exchange.js';
 import type {SendResult} from './send_result.js';
 
@@ -207,7 +207,8 @@
       this.memory,
       (message, id) => {
         const named = fieldOf(message, this.wire.headers.requestId);
-        return named === undefined || named === id;
+        if (named === id) return Attribution.This;
+        return named === undefined ? Attribution.Unnamed : Attribution.Other;
       },
     );
     this.pools.set(entry.id, pool);
--- a/packages/gateway/src/backend_server/backend_connection_pool.ts
+++ b/packages/gateway/src/backend_server/backend_connection_pool.ts
@@ -8,11 +8,23 @@
 /** Number of idle connections that are kept. */
 const MAX_IDLE = 16;
 
-/** Returns whether an answer is for the request with this id, if it has one. */
-export type BelongsCheck = (
+/** What an answer says about the request that it is for. */
+export const Attribution = {
+  /** It names the request that waits, or that one has no id. */
+  This: 'this',
+  Other: 'other',
+  /** It names none, so that it could not be told from a later copy of itself. */
+  Unnamed: 'unnamed',
+} as const;
+
+/** One of the values of {@link Attribution}. */
+export type Attribution = (typeof Attribution)[keyof typeof Attribution];
+
+/** Returns which request an answer is for, given the id of the one that waits. */
+export type Attribute = (
   message: Message,
   id: string | undefined,
-) => boolean;
+) => Attribution;
 
 /** Pool of connections to one address. */
 export class BackendConnectionPool implements Disposable {
@@ -20,11 +32,10 @@
   private readonly idle: BackendConnection[] = [];
   private readonly busy = new Set<BackendConnection>();
 
-  /** @param belongs Returns whether an answer is for the request with this id. */
   constructor(
     readonly address: string,
     private readonly memory: AnswerMemory,
-    private readonly belongs: BelongsCheck,
+    private readonly attribute: Attribute,
   ) {}
 
   /** Number of connections that are open or being opened. */
@@ -34,7 +45,9 @@
 
   /**
    * Sends one request. Never rejects. A connection that brought the answer to
-   * another request is closed: the answer to this one may still come on it.
+   * another request is closed: the answer to this one may still come on it. One
+   * whose answer names no request is closed too: a copy of that answer could be
+   * taken for the answer to the next request.
    *
    * @param id Id of the request; undefined if it has none.
    * @param maxIdleMs Longest time since the last answer of a reused connection;
@@ -57,11 +70,13 @@
       onHead,
     );
     this.busy.delete(connection);
-    if (result.kind === 'message' && !this.belongs(result, id)) {
+    const attribution =
+      result.kind === 'message' ? this.attribute(result, id) : undefined;
+    if (attribution === Attribution.Other) {
       connection[Symbol.dispose]();
       return {kind: 'broken', detail: 'the answer belongs to another request'};
     }
-    const isReusable = result.kind === 'message' && connection.isOpen;
+    const isReusable = attribution === Attribution.This && connection.isOpen;
     if (isReusable && this.idle.length < MAX_IDLE) this.idle.push(connection);
     else connection[Symbol.dispose]();
     return result;
