Refuse requests in a stop that would be cut off at its end

Cause: until the end of the grace period each request that was read was taken, however long it might take.

Change: once an instance serves open connections only, a request is taken if its deadline, or six times its usual duration, comes before the end; others are refused as not run, with the connection closed.

Test: planned_stop.test.ts, 'a request that comes too late in a stop', failed before and passes; stop_plan.test.ts. platform/testing and gateway: 119 passed.

--- a/packages/balancer/src/service/shared_service.ts
+++ b/packages/balancer/src/service/shared_service.ts
@@ -242,6 +242,11 @@
     );
   }
 
+  /** Measured duration of a route's requests, milliseconds; 0 if unknown. */
+  usualMs(route: Route): number {
+    return this.durations.expectedMs(route);
+  }
+
   /** Latest time at which a request can be sent and still be answered. */
   latestSendAt({route, endsAt}: PlacementRequest): number {
     return endsAt - this.durations.expectedMs(route);
--- a/packages/gateway/src/instance/gateway.ts
+++ b/packages/gateway/src/instance/gateway.ts
@@ -8,6 +8,7 @@
   SeededRandom,
   type RepeatBudgetLimits,
   type ServerEntry,
+  StopPlan,
 } from '@ragworthall/balancer';
 import {setTimeout as delay} from 'node:timers/promises';
 import type {AnswerLimits} from '../backend_server/answer_memory.js';
@@ -106,6 +107,7 @@
   private readonly tasks = new AbortController();
   private running: Promise<unknown> = Promise.resolve();
   private stopping = false;
+  private stopPlan: StopPlan | undefined;
 
   private constructor(
     private readonly options: GatewayOptions,
@@ -148,6 +150,7 @@
       clock,
       random,
       instanceCount: () => newsExchange.instanceCount,
+      stopPlan: () => this.stopPlan,
       log,
       metrics,
     };
@@ -224,6 +227,7 @@
     await this.newsExchange.dropListeners();
     log.lifecycle('stopping', {graceMs});
     await delay(ADDRESS_TTL_MS * ADDRESS_TTL_OVERRUN);
+    this.stopPlan = new StopPlan(until);
     this.callerServer.stopListening();
     while (this.callerServer.isInUse && clock.now() < until) {
       await delay(DRAIN_POLL_MS);
--- a/packages/gateway/src/request/caller_request.ts
+++ b/packages/gateway/src/request/caller_request.ts
@@ -27,6 +27,8 @@
 export const Failure = {
   /** This instance has not read the configuration or the registry yet. */
   Starting: 'starting',
+  /** This instance stops before the request would end. */
+  Stopping: 'stopping',
   NoRoute: 'no_route',
   /** No server had free capacity in time. */
   NoCapacity: 'no_room',
--- a/packages/gateway/src/request/request_run.ts
+++ b/packages/gateway/src/request/request_run.ts
@@ -33,6 +33,8 @@
 const ANSWER_MARGIN_MS = 60;
 /** Delay after which a caller refused by a starting instance may retry, milliseconds. */
 const STARTING_RETRY_MS = 150;
+/** Delay after which a caller refused by a stopping instance may go elsewhere, milliseconds. */
+const STOPPING_RETRY_MS = 20;
 /** Longest idle time of a connection that is reused for a non-idempotent request, milliseconds. */
 const NON_IDEMPOTENT_IDLE_MS = 2_000;
 /** Longest idle time of a connection that is reused for an idempotent request, milliseconds. */
@@ -73,7 +75,18 @@
   if (!matched) return {kind: 'no_route'};
   const {route, split} = matched;
   const service = context.deployment.service(split.next());
-  service.budget.recordRequest(context.clock.now());
+  const now = context.clock.now();
+  const endsAt =
+    request.arrivedAt + Math.min(request.timeoutMs, route.timeoutMs);
+  const usualMs = service.usualMs(route);
+  if (context.stopPlan()?.takes({endsAt, usualMs}, now) === false) {
+    return {
+      kind: 'refused',
+      reason: Failure.Stopping,
+      retryAfterMs: STOPPING_RETRY_MS,
+    };
+  }
+  service.budget.recordRequest(now);
   return new RequestRun(context, request, route, service, requestLog).run();
 }
 
--- a/packages/gateway/src/request/run_context.ts
+++ b/packages/gateway/src/request/run_context.ts
@@ -1,5 +1,5 @@
 /** What the runs of all requests share. */
-import type {Deployment, Random} from '@ragworthall/balancer';
+import type {Deployment, Random, StopPlan} from '@ragworthall/balancer';
 import type {BackendClient} from '../backend_server/backend_client.js';
 import type {Prober} from '../backend_server/prober.js';
 import type {PauseGuard} from '../instance/pause_guard.js';
@@ -17,6 +17,8 @@
   readonly random: Random;
   /** Number of known instances; 0 while it is unknown. */
   readonly instanceCount: () => number;
+  /** The stop in progress, once only open connections are served. */
+  readonly stopPlan: () => StopPlan | undefined;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
 }
