Send callers elsewhere while an instance reaches no server

An instance that is cut off from all servers, while callers, the store and the others reach it, went on naming itself to callers and let their requests wait for servers until their deadlines.

Change: failures of three servers raise the suspicion, two checks of four servers on fresh connections decide, since connections that are open may live on while new ones are refused. While cut off the instance names others to callers who ask: it asks instances, those of other failure domains first, whether they name themselves, which one that is cut off does not do. Requests that still come are refused at once as not run, unless open connections serve. Two checks that reach a server end it.

Tests: cut_off_instance.test.ts plays the three forms with the loopback proxy (silent, reset, new connections refused) and failures of single servers; the decision is tested without a network in server_reach.test.ts.

Not built: the hop through another instance.

--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -43,6 +43,7 @@
 export * from './backend_server/shared_server.js';
 export * from './backend_server/stated_needs.js';
 export * from './instance/limit_shares.js';
+export * from './instance/server_reach.js';
 export * from './instance/stop_plan.js';
 export * from './backend_server/probe_rate_limiter.js';
 export * from './instance/deployment.js';
--- a/packages/balancer/src/instance/deployment.ts
+++ b/packages/balancer/src/instance/deployment.ts
@@ -77,6 +77,19 @@
     return [...this.servers.keys()];
   }
 
+  /** Ids of the servers that may be asked for their health now. */
+  checkableServerIds(now: number): readonly string[] {
+    return [...this.servers.values()]
+      .filter(s => s.acceptsRequests && !s.needs.wantsNothing(now))
+      .filter(s => this.healthPathOf(s) !== undefined)
+      .map(s => s.entry.id);
+  }
+
+  /** Path of the health check of a server; undefined if its service has none. */
+  healthPathOf({entry}: SharedServer): string | undefined {
+    return this.service(entry.service).settings?.healthPath;
+  }
+
   /** Number of backend servers that take work. */
   get serversTakingWork(): number {
     return [...this.servers.values()].filter(s => s.acceptsRequests).length;
--- a/packages/balancer/src/instance/update_sources.ts
+++ b/packages/balancer/src/instance/update_sources.ts
@@ -36,7 +36,8 @@
 
 /** Selects the update sources of one instance. */
 export class UpdateSources {
-  private instances: readonly InstanceEntry[] = [];
+  /** The known instances, sorted by id. */
+  instances: readonly InstanceEntry[] = [];
   /** Ids of all instances; replaced by another list whenever they change. */
   instanceIds: readonly string[] = [];
   private readonly backoffs = new Map<string, Backoff>();
--- a/packages/gateway/src/backend_server/backend_client.ts
+++ b/packages/gateway/src/backend_server/backend_client.ts
@@ -4,13 +4,14 @@
  */
 import {
   type LoadReport,
+  NEVER_ABORTED,
   type SharedServer,
   type StatementsOfMessage,
   StatementSource,
 } from '@ragworthall/balancer';
 import type {AnswerHead, WireFormat} from '../platform/wire_format.js';
 import {AnswerMemory, type AnswerLimits} from './answer_memory.js';
-import type {OutgoingRequest} from './backend_connection.js';
+import {BackendConnection, type OutgoingRequest} from './backend_connection.js';
 import {Attribution, BackendConnectionPool} from './backend_connection_pool.js';
 import type {Message} from './exchange.js';
 import type {SendResult} from './send_result.js';
@@ -116,12 +117,7 @@
     timeoutMs: number,
     signal: AbortSignal,
   ): Promise<ProbeAnswer> {
-    const request: OutgoingRequest = {
-      method: 'GET',
-      target: path,
-      headers: ['host', server.entry.address],
-      body: EMPTY,
-    };
+    const request = healthRequest(server.entry.address, path);
     const result = await this.poolOf(server).send(
       undefined,
       () => request,
@@ -147,6 +143,25 @@
     };
   }
 
+  /** Whether a server answers on a connection of its own. Never rejects. */
+  async check(
+    {entry}: SharedServer,
+    path: string,
+    timeoutMs: number,
+  ): Promise<boolean> {
+    using connection = new BackendConnection(
+      entry.address,
+      this.memory,
+      timeoutMs,
+    );
+    const result = await connection.exchange(
+      () => healthRequest(entry.address, path),
+      timeoutMs,
+      NEVER_ABORTED,
+    );
+    return result.kind === 'message';
+  }
+
   /** Closes the connections to a server that has been removed. */
   close(serverId: string): void {
     this.pools.get(serverId)?.[Symbol.dispose]();
@@ -216,6 +231,10 @@
   }
 }
 
+function healthRequest(address: string, path: string): OutgoingRequest {
+  return {method: 'GET', target: path, headers: ['host', address], body: EMPTY};
+}
+
 function fieldOf(head: AnswerHead, name: string): string | undefined {
   const value = head.headers[name];
   return Array.isArray(value) ? value[0] : value;
--- a/packages/gateway/src/backend_server/prober.ts
+++ b/packages/gateway/src/backend_server/prober.ts
@@ -7,6 +7,7 @@
   type SharedService,
 } from '@ragworthall/balancer';
 import type {GatewayLog} from '../log/gateway_log.js';
+import type {ReachMonitor} from '../instance/reach_monitor.js';
 import type {BackendClient} from './backend_client.js';
 
 /** Time without an answer after which the server is suspect, milliseconds. */
@@ -25,6 +26,7 @@
     private readonly clock: Clock,
     private readonly log: GatewayLog,
     private readonly rateLimiter: ProbeRateLimiter,
+    private readonly reach: ReachMonitor,
   ) {}
 
   /**
@@ -60,10 +62,10 @@
     this.sent += 1;
     const askedAt = this.clock.now();
     server.beginLoadQuery(askedAt);
-    const suspectTimer = setTimeout(
-      () => server.recordNoResponse(this.clock.now()),
-      SUSPECT_AFTER_MS,
-    );
+    const suspectTimer = setTimeout(() => {
+      server.recordNoResponse(this.clock.now());
+      this.reach.recordFailure(server);
+    }, SUSPECT_AFTER_MS);
     const answer = await this.backendClient.probe(
       server,
       path,
@@ -76,6 +78,7 @@
     switch (answer.kind) {
       case 'answered':
         server.recordResponse();
+        this.reach.recordResponse();
         server.recordHealth(answer.healthy);
         if (answer.load) server.recordLoadReport(answer.load, askedAt, now);
         if (answer.load) service.reportsLoad = true;
@@ -87,6 +90,7 @@
         return;
       case 'failed':
         server.recordNoResponse(now);
+        this.reach.recordFailure(server);
         this.log.stateChange('server_suspect', {
           server: server.entry.id,
           detail: answer.detail,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,7 @@
 /** Public modules of the gateway. */
 export * from './instance/gateway.js';
 export * from './instance/pause_guard.js';
+export type {ServingCheck} from './instance/reach_monitor.js';
 export * from './log/gateway_log.js';
 export * from './peer/fleet_directory.js';
 export * from './platform/row_source.js';
--- a/packages/gateway/src/instance/gateway.ts
+++ b/packages/gateway/src/instance/gateway.ts
@@ -27,6 +27,7 @@
 import {RequestQueues} from '../request/request_queue.js';
 import {ConfigurationSink} from './configuration_sink.js';
 import {pause} from './pause.js';
+import {ReachMonitor, type ServingCheck} from './reach_monitor.js';
 import type {PauseGuard} from './pause_guard.js';
 import {RegistrySink} from './registry_sink.js';
 
@@ -74,6 +75,7 @@
   readonly peers: {readonly host: string; readonly port: number};
   readonly fleet: FleetDirectory;
   readonly budget: RepeatBudgetLimits;
+  readonly checkServing: ServingCheck;
   /** Whether the whole fleet starts for the first time. */
   readonly isFirstStart: boolean;
   /** Limit on the probes of each server per second, over all instances. */
@@ -106,6 +108,7 @@
   private readonly registrySink: RegistrySink;
   private readonly tasks = new AbortController();
   private running: Promise<unknown> = Promise.resolve();
+  private readonly reach: ReachMonitor;
   private stopping = false;
   private stopPlan: StopPlan | undefined;
 
@@ -139,7 +142,23 @@
       servers: this.deployment.serversTakingWork,
       instances: newsExchange.instanceCount,
     }));
-    const prober = new Prober(this.backendClient, clock, log, probeRateLimiter);
+    this.reach = new ReachMonitor({
+      self: {id: options.instance, failureDomain},
+      deployment: this.deployment,
+      backendClient: this.backendClient,
+      instances: () => newsExchange.instances,
+      checkServing: options.checkServing,
+      clock,
+      random,
+      log,
+    });
+    const prober = new Prober(
+      this.backendClient,
+      clock,
+      log,
+      probeRateLimiter,
+      this.reach,
+    );
     const context = {
       deployment: this.deployment,
       queues: new RequestQueues(prober, clock, err =>
@@ -151,6 +170,7 @@
       random,
       instanceCount: () => newsExchange.instanceCount,
       stopPlan: () => this.stopPlan,
+      reach: this.reach,
       log,
       metrics,
     };
@@ -167,6 +187,7 @@
       servers: () => this.deployment.serversTakingWork,
       probes: () => prober.sent,
       inFlight: () => this.callerServer.inFlight,
+      isCutOff: () => this.reach.isCutOff,
     });
     this.deployment.onceKnown(() =>
       log.lifecycle('ready', {sinceStartMs: Math.round(performance.now())}),
@@ -207,11 +228,18 @@
     return this.deployment.isKnown && !this.stopping;
   }
 
-  /** Where callers should connect; undefined if this instance is not ready. */
+  /**
+   * Where callers should connect; undefined if this instance is not ready. While
+   * it reaches no server it names instances that do; undefined if it finds none.
+   */
   addresses(): AddressAnswer | undefined {
     if (!this.isReady) return undefined;
     const {host, port} = this.options.callers;
-    return {addresses: [`${host}:${port}`], ttlMs: ADDRESS_TTL_MS};
+    const addresses = this.reach.isCutOff
+      ? this.reach.servingAddresses
+      : [`${host}:${port}`];
+    if (addresses.length === 0) return undefined;
+    return {addresses, ttlMs: ADDRESS_TTL_MS};
   }
 
   /**
@@ -274,7 +302,7 @@
       this.options.clock.onPauseConfirm(() => follower.confirm()),
     );
     const {signal} = this.tasks;
-    const tasks = [...followers, this.newsExchange].map(task =>
+    const tasks = [...followers, this.newsExchange, this.reach].map(task =>
       this.keepRunning(task, signal),
     );
     this.running = Promise.all(tasks);
--- a/packages/gateway/src/metrics/gateway_metrics.ts
+++ b/packages/gateway/src/metrics/gateway_metrics.ts
@@ -17,6 +17,8 @@
   probes(): number;
   /** Requests in flight. */
   inFlight(): number;
+  /** Whether no server can be reached. */
+  isCutOff(): boolean;
 }
 
 /** The metrics of one instance. */
@@ -84,6 +86,11 @@
     this.gauge('ragworthall_requests_in_flight', 'Requests in flight', () =>
       sources.inFlight(),
     );
+    this.gauge(
+      'ragworthall_cut_off',
+      '1 while this instance reaches no backend server',
+      () => Number(sources.isCutOff()),
+    );
   }
 
   /** Counts the end of a request. */
--- a/packages/gateway/src/peer/news_exchange.ts
+++ b/packages/gateway/src/peer/news_exchange.ts
@@ -111,6 +111,11 @@
     return this.sources.size;
   }
 
+  /** The known instances; empty until the list has been read. */
+  get instances(): readonly InstanceEntry[] {
+    return this.sources.instances;
+  }
+
   /** Ids of the known instances; empty until the list has been read. */
   get instanceIds(): readonly string[] {
     return this.sources.instanceIds;
--- /dev/null
+++ b/packages/gateway/src/request/arrival_check.ts
@@ -0,0 +1,31 @@
+/** Refuses requests that other instances can serve and this one cannot. */
+import type {Route, SharedService} from '@ragworthall/balancer';
+import {
+  type CallerRequest,
+  Failure,
+  type RequestEnd,
+} from './caller_request.js';
+import type {RunContext} from './run_context.js';
+
+/** Delay after which a caller that is to go elsewhere may do so, milliseconds. */
+const ELSEWHERE_RETRY_MS = 20;
+
+/** Returns the refusal of a request on its arrival; undefined if it is taken. */
+export function refusalOnArrival(
+  {stopPlan, reach}: RunContext,
+  {arrivedAt, timeoutMs}: CallerRequest,
+  route: Route,
+  service: SharedService,
+  now: number,
+): RequestEnd | undefined {
+  const endsAt = arrivedAt + Math.min(timeoutMs, route.timeoutMs);
+  const usualMs = service.usualMs(route);
+  if (stopPlan()?.takes({endsAt, usualMs}, now) === false) {
+    return refusedElsewhere(Failure.Stopping);
+  }
+  return reach.reachesNothing ? refusedElsewhere(Failure.CutOff) : undefined;
+}
+
+function refusedElsewhere(reason: Failure): RequestEnd {
+  return {kind: 'refused', reason, retryAfterMs: ELSEWHERE_RETRY_MS};
+}
--- a/packages/gateway/src/request/caller_request.ts
+++ b/packages/gateway/src/request/caller_request.ts
@@ -27,6 +27,8 @@
 export const Failure = {
   /** This instance has not read the configuration or the registry yet. */
   Starting: 'starting',
+  /** This instance reaches no server; others do. */
+  CutOff: 'cut_off',
   /** This instance stops before the request would end. */
   Stopping: 'stopping',
   NoRoute: 'no_route',
--- a/packages/gateway/src/request/request_run.ts
+++ b/packages/gateway/src/request/request_run.ts
@@ -16,6 +16,7 @@
 } from '@ragworthall/balancer';
 import type {SendResult, ServerAnswer} from '../backend_server/send_result.js';
 import type {RequestLog} from '../log/request_log.js';
+import {refusalOnArrival} from './arrival_check.js';
 import {
   type CallerRequest,
   Failure,
@@ -33,8 +34,6 @@
 const ANSWER_MARGIN_MS = 60;
 /** Delay after which a caller refused by a starting instance may retry, milliseconds. */
 const STARTING_RETRY_MS = 150;
-/** Delay after which a caller refused by a stopping instance may go elsewhere, milliseconds. */
-const STOPPING_RETRY_MS = 20;
 /** Longest idle time of a connection that is reused for a non-idempotent request, milliseconds. */
 const NON_IDEMPOTENT_IDLE_MS = 2_000;
 /** Longest idle time of a connection that is reused for an idempotent request, milliseconds. */
@@ -76,16 +75,8 @@
   const {route, split} = matched;
   const service = context.deployment.service(split.next());
   const now = context.clock.now();
-  const endsAt =
-    request.arrivedAt + Math.min(request.timeoutMs, route.timeoutMs);
-  const usualMs = service.usualMs(route);
-  if (context.stopPlan()?.takes({endsAt, usualMs}, now) === false) {
-    return {
-      kind: 'refused',
-      reason: Failure.Stopping,
-      retryAfterMs: STOPPING_RETRY_MS,
-    };
-  }
+  const refusal = refusalOnArrival(context, request, route, service, now);
+  if (refusal) return refusal;
   service.budget.recordRequest(now);
   return new RequestRun(context, request, route, service, requestLog).run();
 }
@@ -318,6 +309,7 @@
     switch (result.kind) {
       case 'answered':
         server.recordResponse();
+        this.context.reach.recordResponse();
         if (result.load)
           server.recordLoadReport(result.load, now - REPORT_TRANSIT_MS, now);
         if (result.answer.status >= SERVER_ERROR) server.recordFailure(now);
@@ -332,16 +324,16 @@
         return;
       case 'not_sent':
         server.recordNoResponse(now);
+        this.context.reach.recordFailure(server);
         return;
       case 'lost':
-        server.recordFailure(now);
-        return;
       case 'late':
         server.recordFailure(now);
         return;
       case 'abandoned':
         // A server that is long overdue has failed, though the caller left first.
-        if (tookMs > this.overdueMs()) server.recordFailure(now);
+        if (tookMs > this.expectedMs * OVERDUE_FACTOR)
+          server.recordFailure(now);
         return;
       default:
         result satisfies never;
@@ -375,11 +367,6 @@
     }
   }
 
-  /** Time after which a missing answer counts as a failure of the server. */
-  private overdueMs(): number {
-    return this.expectedMs * OVERDUE_FACTOR;
-  }
-
   private giveUp(reason: Failure): RequestEnd {
     if (this.serverError) return {kind: 'answered', answer: this.serverError};
     if (this.mayHaveRun) return unknown(Failure.Lost);
--- a/packages/gateway/src/request/run_context.ts
+++ b/packages/gateway/src/request/run_context.ts
@@ -2,6 +2,7 @@
 import type {Deployment, Random, StopPlan} from '@ragworthall/balancer';
 import type {BackendClient} from '../backend_server/backend_client.js';
 import type {Prober} from '../backend_server/prober.js';
+import type {ReachMonitor} from '../instance/reach_monitor.js';
 import type {PauseGuard} from '../instance/pause_guard.js';
 import type {GatewayLog} from '../log/gateway_log.js';
 import type {GatewayMetrics} from '../metrics/gateway_metrics.js';
@@ -19,6 +20,7 @@
   readonly instanceCount: () => number;
   /** The stop in progress, once only open connections are served. */
   readonly stopPlan: () => StopPlan | undefined;
+  readonly reach: ReachMonitor;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
 }
