Do the new checks of servers once a round, and only on a suspicion

What each placement round and each tick of the reach monitor computed grew with requests times servers: the servers that accept requests were listed for every waiting request, and the known servers ten times a second. Both are computed once, the second only after a failure.

--- a/packages/balancer/src/instance/server_reach.ts
+++ b/packages/balancer/src/instance/server_reach.ts
@@ -56,15 +56,25 @@
     this.failedAt.set(server, now);
   }
 
-  /** Whether to check now, and the servers to ask; none if there is no need. */
-  serversToCheck(known: readonly string[], now: number): readonly string[] {
-    if (now < this.nextCheckAt || known.length === 0) return [];
+  /**
+   * Returns the servers to ask now; none if there is no need.
+   *
+   * @param knownServers Returns the servers that may be asked; costly.
+   */
+  serversToCheck(
+    knownServers: () => readonly string[],
+    now: number,
+  ): readonly string[] {
+    const isCalm = !this.cutOff && this.failedAt.size === 0;
+    if (isCalm || now < this.nextCheckAt) return [];
+    this.nextCheckAt = now + CHECK_INTERVAL_MS;
+    const known = knownServers();
+    if (known.length === 0) return [];
     this.failedAt.forEach((at, id) => {
       if (now - at > FAILURE_VALID_MS) this.failedAt.delete(id);
     });
     const minFailed = Math.min(MIN_FAILED_SERVERS, known.length);
     if (!this.cutOff && this.failedAt.size < minFailed) return [];
-    this.nextCheckAt = now + CHECK_INTERVAL_MS;
     const sound = known.filter(id => !this.failedAt.has(id));
     const preferred = [...this.shuffled(sound), ...this.shuffled(known)];
     return [...new Set(preferred)].slice(0, SERVERS_PER_CHECK);
--- a/packages/balancer/src/service/placement_round.ts
+++ b/packages/balancer/src/service/placement_round.ts
@@ -61,9 +61,10 @@
     placement: request.placement,
     isTimely: service.canMeetTarget(request.placement, now),
   }));
+  const accepting = service.acceptingServers;
   const verdicts = ranked.map(entry => ({
     ...entry,
-    why: dropReason(service, entry, ranked, now),
+    why: dropReason(service, accepting, entry, ranked, now),
   }));
   const dropped = verdicts.flatMap(({request, why}) =>
     why === undefined ? [] : [{request, why}],
@@ -100,7 +101,7 @@
   waiting: readonly W[],
   now: number,
 ): ReadonlySet<W> {
-  const closed = service.closedServers(now);
+  const closed = waiting.length > 0 ? service.closedServers(now) : [];
   if (closed.length === 0) return new Set();
   const requests = waiting.map(request => ({
     request,
@@ -150,6 +151,7 @@
 /** Returns why a request is not to wait any longer; undefined if it may. */
 function dropReason<W extends WaitingRequest>(
   service: SharedService,
+  accepting: readonly SharedServer[],
   entry: RankedRequest<W>,
   all: readonly RankedRequest<W>[],
   now: number,
@@ -157,7 +159,11 @@
   const {request, placement} = entry;
   if (request.isAbandoned) return DropReason.CallerLeft;
   if (!service.canBeServed(placement, now)) return DropReason.NoTime;
-  if (!service.hasServerFor(placement)) return DropReason.NoCapacity;
+  // Without any known server, entries may be on their way back.
+  const isServable = ({entry: {id}}: SharedServer) => !placement.tried.has(id);
+  if (service.hasServers && !accepting.some(isServable)) {
+    return DropReason.NoCapacity;
+  }
   // A request that was sent before may have been executed; another attempt is
   // the only way to a certain answer.
   if (entry.isTimely || placement.tried.size > 0) return undefined;
--- a/packages/balancer/src/service/shared_service.ts
+++ b/packages/balancer/src/service/shared_service.ts
@@ -120,9 +120,7 @@
 
   /** Slots of all servers that accept work. */
   get slots(): number {
-    return [...this.byId.values()]
-      .filter(server => server.acceptsRequests)
-      .reduce((sum, server) => sum + server.slots, 0);
+    return this.acceptingServers.reduce((sum, {slots}) => sum + slots, 0);
   }
 
   /** Adds or replaces a server. */
@@ -199,24 +197,19 @@
     return this.fits(request, SHORTEST_LATENCY_FACTOR, now);
   }
 
-  /**
-   * Whether a server accepts the request that was not sent it before; true while
-   * no server of the service is known.
-   */
-  hasServerFor({tried}: PlacementRequest): boolean {
-    const servers = [...this.byId.values()];
-    return (
-      servers.length === 0 ||
-      servers.some(s => s.acceptsRequests && !tried.has(s.entry.id))
-    );
+  /** Whether any server is known, also one that takes no requests. */
+  get hasServers(): boolean {
+    return this.byId.size > 0;
   }
 
-  /**
-   * Servers that accept requests but are closed for the moment; empty if any
-   * server is open.
-   */
+  /** Servers that accept requests, also those that are closed for the moment. */
+  get acceptingServers(): readonly SharedServer[] {
+    return [...this.byId.values()].filter(server => server.acceptsRequests);
+  }
+
+  /** Servers that accept requests, all of them closed now; empty if one is open. */
   closedServers(now: number): readonly SharedServer[] {
-    const accepting = [...this.byId.values()].filter(s => s.acceptsRequests);
+    const accepting = this.acceptingServers;
     return accepting.some(server => server.isOpen(now)) ? [] : accepting;
   }
 
--- a/packages/gateway/src/instance/reach_monitor.ts
+++ b/packages/gateway/src/instance/reach_monitor.ts
@@ -90,14 +90,16 @@
   private async check(): Promise<void> {
     const {deployment, clock, log} = this.context;
     const now = clock.now();
-    const known = deployment.checkableServerIds(now);
-    const asked = this.reach.serversToCheck(known, now);
+    const asked = this.reach.serversToCheck(
+      () => deployment.checkableServerIds(now),
+      now,
+    );
     if (asked.length > 0) {
       const responses = await Promise.all(asked.map(id => this.responds(id)));
       const responded = responses.filter(Boolean).length;
       const change = this.reach.recordCheck(responded, clock.now());
       if (change !== undefined) {
-        const fields = {asked: asked.length, responded, known: known.length};
+        const fields = {asked: asked.length, responded};
         log.dependency(`servers_${change}`, fields);
       }
     }
