Name what follows from a server's statements by the field's term, backpressure

Renames: StatedNeeds to Backpressure, hear to record and reportStatements, opensAt to nextSendAt. No change of behaviour.

--- a/packages/balancer/src/backend_server/stated_needs.ts
+++ b/packages/balancer/src/backend_server/backpressure.ts
@@ -20,7 +20,7 @@
 export const WHOLE_LIMIT: ShareOfLimit = () => 1;
 
 /** The believed statements of one server process. */
-export class StatedNeeds {
+export class Backpressure {
   private limitPerS: number | undefined;
   private leaving = false;
   private restUntil = -Infinity;
@@ -54,7 +54,10 @@
    * Takes in the statements of one message; returns what has changed. A limit
    * holds until a message, of whatever kind, does not name it any more.
    */
-  hear(message: StatementsOfMessage, now: number): readonly StatementChange[] {
+  record(
+    message: StatementsOfMessage,
+    now: number,
+  ): readonly StatementChange[] {
     const {statements, isLimitUnreadable} = message;
     const changes = statements.flatMap(s => this.apply(s, now));
     const namesLimit = statements.some(({kind}) => kind === 'limit');
@@ -76,7 +79,7 @@
   }
 
   /** Time from which a request may be sent, milliseconds; Infinity if never. */
-  opensAt(now: number): number {
+  nextSendAt(now: number): number {
     if (this.leaving) return Infinity;
     return Math.max(this.restUntil, this.limitOpensAt(now));
   }
--- a/packages/balancer/src/backend_server/shared_server.ts
+++ b/packages/balancer/src/backend_server/shared_server.ts
@@ -4,7 +4,7 @@
  * which are out of date within a fraction of a second.
  */
 
-import {type ShareOfLimit, StatedNeeds, WHOLE_LIMIT} from './stated_needs.js';
+import {type ShareOfLimit, Backpressure, WHOLE_LIMIT} from './backpressure.js';
 
 /** Whether a backend server accepts new requests, according to the registry. */
 export const EntryState = {
@@ -88,7 +88,7 @@
   /** Whether the latest load query is unanswered. */
   isLoadQueryPending = false;
   /** What it states of itself. */
-  readonly needs: StatedNeeds;
+  readonly backpressure: Backpressure;
   private report: LoadReport | undefined;
   /** Send times of requests that the latest report does not include. */
   private unreportedSends: number[] = [];
@@ -105,7 +105,7 @@
     now: number,
     shareOfLimit: ShareOfLimit = WHOLE_LIMIT,
   ) {
-    this.needs = new StatedNeeds(shareOfLimit);
+    this.backpressure = new Backpressure(shareOfLimit);
     this.warmUpEndsAt = now + entry.warmUpMs;
   }
 
@@ -121,13 +121,13 @@
     return (
       this.entry.state === EntryState.Ready &&
       !this.misplaced &&
-      !this.needs.isLeaving
+      !this.backpressure.isLeaving
     );
   }
 
   /** Whether it accepts new requests and may be sent one now. */
   isOpen(now: number): boolean {
-    return this.acceptsRequests && this.needs.opensAt(now) <= now;
+    return this.acceptsRequests && this.backpressure.nextSendAt(now) <= now;
   }
 
   /** Whether it recently failed to respond, so that other servers are preferred. */
@@ -235,7 +235,7 @@
   /** Records that a request is sent to it. */
   recordSend(now: number): void {
     this.inFlight += 1;
-    this.needs.recordSend(now);
+    this.backpressure.recordSend(now);
     this.unreportedSends = this.unreportedSends.filter(
       at => now - at < UNREPORTED_SEND_LIFETIME_MS,
     );
--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -41,7 +41,7 @@
 export * from './service/service.js';
 export * from './backend_server/server_statement.js';
 export * from './backend_server/shared_server.js';
-export * from './backend_server/stated_needs.js';
+export * from './backend_server/backpressure.js';
 export * from './instance/limit_shares.js';
 export * from './instance/server_reach.js';
 export * from './instance/stop_plan.js';
--- a/packages/balancer/src/instance/deployment.test.ts
+++ b/packages/balancer/src/instance/deployment.test.ts
@@ -86,7 +86,7 @@
 test('a server that announced its leaving is not used again until it has restarted', t => {
   const deployment = createDeployment();
   deployment.putServer(serverEntry({startedAt: 5}), NOW);
-  deployment.server('x')!.needs.markLeaving();
+  deployment.server('x')!.backpressure.markLeaving();
   deployment.putServer(serverEntry({startedAt: 5, sequence: 9}), NOW);
   t.is(deployment.serversTakingWork, 0);
   // Its entry lapses in an outage of the store and comes back as it was.
--- a/packages/balancer/src/instance/deployment.ts
+++ b/packages/balancer/src/instance/deployment.ts
@@ -80,7 +80,7 @@
   /** Ids of the servers that may be asked for their health now. */
   checkableServerIds(now: number): readonly string[] {
     return [...this.servers.values()]
-      .filter(s => s.acceptsRequests && !s.needs.wantsNothing(now))
+      .filter(s => s.acceptsRequests && !s.backpressure.wantsNothing(now))
       .filter(s => this.healthPathOf(s) !== undefined)
       .map(s => s.entry.id);
   }
@@ -153,7 +153,7 @@
     const server = this.servers.get(id);
     if (!server) return false;
     this.servers.delete(id);
-    if (server.needs.isLeaving) this.rememberLeft(server.entry);
+    if (server.backpressure.isLeaving) this.rememberLeft(server.entry);
     this.options.limitShares.forget(id);
     this.service(server.entry.service).remove(id);
     return true;
@@ -176,7 +176,8 @@
     const server = new SharedServer(entry, now, perS =>
       limitShares.shareOf(entry.id, perS),
     );
-    if (this.left.get(entry.id) === entry.startedAt) server.needs.markLeaving();
+    if (this.left.get(entry.id) === entry.startedAt)
+      server.backpressure.markLeaving();
     else this.left.delete(entry.id);
     this.servers.set(entry.id, server);
     this.service(entry.service).put(server);
--- a/packages/balancer/src/instance/limit_shares.test.ts
+++ b/packages/balancer/src/instance/limit_shares.test.ts
@@ -4,7 +4,7 @@
  */
 import test from 'ava';
 import {SeededRandom} from '../link/random.js';
-import {StatedNeeds} from '../backend_server/stated_needs.js';
+import {Backpressure} from '../backend_server/backpressure.js';
 import {StatementSource} from '../backend_server/server_statement.js';
 import {LimitShares} from './limit_shares.js';
 
@@ -39,12 +39,12 @@
 ): Played {
   const random = new SeededRandom(7);
   const ids = Array.from({length: instances}, (_, i) => `front-${i}`);
-  const needs = ids.map((id, i) => {
+  const servers = ids.map((id, i) => {
     const known = ids.slice(0, knownTo(i));
     const shares = new LimitShares(id, () => known);
-    const server = new StatedNeeds(limit => shares.shareOf('i-1', limit));
+    const server = new Backpressure(limit => shares.shareOf('i-1', limit));
     const statements = [{kind: 'limit', perS}] as const;
-    server.hear(
+    server.record(
       {
         source: StatementSource.Answer,
         statements,
@@ -57,9 +57,9 @@
   });
   const sends: number[] = [];
   for (let now = 0; now < PLAYED_MS; now += STEP_MS) {
-    needs.forEach((server, i) => {
+    servers.forEach((server, i) => {
       const isBusy = random.nextInt(RANDOM_STEPS) < RANDOM_STEPS * busyOf(i);
-      if (!isBusy || server.opensAt(now) > now) return;
+      if (!isBusy || server.nextSendAt(now) > now) return;
       server.recordSend(now);
       sends.push(now);
     });
--- a/packages/balancer/src/service/opening_plan.test.ts
+++ b/packages/balancer/src/service/opening_plan.test.ts
@@ -18,7 +18,7 @@
   const malformed = new Map<string, string>();
   const statements = [statement];
   const message = {source, statements, malformed, isLimitUnreadable: false};
-  created.needs.hear(message, NOW);
+  created.backpressure.record(message, NOW);
   return created;
 }
 
--- a/packages/balancer/src/service/opening_plan.ts
+++ b/packages/balancer/src/service/opening_plan.ts
@@ -26,8 +26,8 @@
 ): ReadonlySet<R> {
   const openings = servers.map(server => ({
     id: server.entry.id,
-    at: server.needs.opensAt(now),
-    intervalMs: server.needs.sendIntervalMs,
+    at: server.backpressure.nextSendAt(now),
+    intervalMs: server.backpressure.sendIntervalMs,
   }));
   const unserved = inOrder.filter(({latestSendAt, tried}) => {
     const next = openings
--- a/packages/balancer/src/service/server_snapshot.test.ts
+++ b/packages/balancer/src/service/server_snapshot.test.ts
@@ -60,7 +60,7 @@
 test('a server that is not to be sent another request now is left out', t => {
   const servers = ['x', 'y'].map(serverOf);
   const {snapshot} = snapshotOf(servers);
-  servers[0]!.needs.markLeaving();
+  servers[0]!.backpressure.markLeaving();
   snapshot.refresh(servers[0]!, 0);
   t.deepEqual(
     snapshot.candidates(NONE).map(c => c.server.entry.id),
--- a/packages/balancer/src/service/shared_service.ts
+++ b/packages/balancer/src/service/shared_service.ts
@@ -215,7 +215,9 @@
 
   /** Time until the first server opens, milliseconds; 0 if one is open. */
   untilOpenMs(now: number): number {
-    const openings = this.closedServers(now).map(s => s.needs.opensAt(now));
+    const openings = this.closedServers(now).map(s =>
+      s.backpressure.nextSendAt(now),
+    );
     return openings.length > 0 ? Math.min(...openings) - now : 0;
   }
 
@@ -226,7 +228,7 @@
   limitsToRecheck(now: number): readonly SharedServer[] {
     return [...this.byId.values()].filter(
       server =>
-        server.needs.isLimited &&
+        server.backpressure.isLimited &&
         server.acceptsRequests &&
         !server.isOpen(now) &&
         !server.isLoadQueryPending &&
--- a/packages/gateway/src/backend_server/backend_client.ts
+++ b/packages/gateway/src/backend_server/backend_client.ts
@@ -93,7 +93,7 @@
         const answeredId = fieldOf(head, headers.requestId);
         const isOther = answeredId !== undefined && answeredId !== dispatch.id;
         if (isOther || head.status === MISDIRECTED) return;
-        this.hear(server, head, StatementSource.Answer);
+        this.reportStatements(server, head, StatementSource.Answer);
       },
     );
     switch (result.kind) {
@@ -127,7 +127,7 @@
       head => {
         const answering = fieldOf(head, this.wire.headers.serverId);
         if (answering !== undefined && answering !== server.entry.id) return;
-        this.hear(server, head, StatementSource.HealthAnswer);
+        this.reportStatements(server, head, StatementSource.HealthAnswer);
       },
     );
     if (result.kind !== 'message') {
@@ -199,7 +199,7 @@
     };
   }
 
-  private hear(
+  private reportStatements(
     server: SharedServer,
     head: AnswerHead,
     source: StatementSource,
--- a/packages/gateway/src/backend_server/prober.ts
+++ b/packages/gateway/src/backend_server/prober.ts
@@ -40,7 +40,7 @@
     const {id} = server.entry;
     const running = this.running.get(id);
     if (running) return running;
-    if (server.needs.wantsNothing(this.clock.now())) return undefined;
+    if (server.backpressure.wantsNothing(this.clock.now())) return undefined;
     if (!this.rateLimiter.tryTake(this.clock.now())) return undefined;
     const probe = this.runProbe(service, server).finally(() =>
       this.running.delete(id),
--- a/packages/gateway/src/backend_server/statement_recorder.ts
+++ b/packages/gateway/src/backend_server/statement_recorder.ts
@@ -22,7 +22,7 @@
   record(server: SharedServer, message: StatementsOfMessage): void {
     const {id, service} = server.entry;
     const {source} = message;
-    const changes = server.needs.hear(message, this.clock.now());
+    const changes = server.backpressure.record(message, this.clock.now());
     changes.forEach(({statement, before, after}) => {
       this.metrics.statementChanged(service, statement, source);
       const fields = {server: id, service, statement, before, after, source};
