Log whether a server ended under a request, and the request's content

After an exchange broke off, the server is asked on a connection of its own: an answer of the same server means that it runs, a closed port or another server's answer that it has ended, everything else leaves it open. The line server_examined has the result and a fingerprint of the content. recordSend moved to a file of its own.

--- a/packages/gateway/src/backend_server/backend_client.ts
+++ b/packages/gateway/src/backend_server/backend_client.ts
@@ -13,7 +13,7 @@
 import {AnswerMemory, type AnswerLimits} from './answer_memory.js';
 import {BackendConnection, type OutgoingRequest} from './backend_connection.js';
 import {Attribution, BackendConnectionPool} from './backend_connection_pool.js';
-import type {Message} from './exchange.js';
+import type {ExchangeResult, Message} from './exchange.js';
 import type {SendResult} from './send_result.js';
 
 /** Status sent by a server that is not the expected one. */
@@ -49,6 +49,19 @@
   | {readonly kind: 'misplaced'}
   | {readonly kind: 'failed'; readonly detail: string};
 
+/** What a connection of its own shows of the process of a server. */
+export const ProcessState = {
+  /** It answers. */
+  Running: 'running',
+  /** Its port is closed, or another server answers there. */
+  Ended: 'ended',
+  /** No answer: it may also be cut off, or busy. */
+  Unknown: 'unknown',
+} as const;
+
+/** One of the values of {@link ProcessState}. */
+export type ProcessState = (typeof ProcessState)[keyof typeof ProcessState];
+
 /** Receives what a server states of itself, as soon as the head of its answer is in. */
 export type StatementListener = (
   server: SharedServer,
@@ -100,7 +113,7 @@
       case 'message':
         return this.toSendResult(result);
       case 'broken':
-        return {kind: 'lost', detail: result.detail};
+        return {kind: 'lost', detail: result.detail, brokeOff: true};
       case 'not_sent':
       case 'late':
       case 'abandoned':
@@ -145,21 +158,56 @@
 
   /** Whether a server answers on a connection of its own. Never rejects. */
   async check(
-    {entry}: SharedServer,
+    server: SharedServer,
     path: string,
     timeoutMs: number,
   ): Promise<boolean> {
+    const result = await this.askAlone(server, path, timeoutMs);
+    return result.kind === 'message';
+  }
+
+  /** Returns whether the process of a server still runs. Never rejects. */
+  async processState(
+    server: SharedServer,
+    path: string,
+    timeoutMs: number,
+  ): Promise<ProcessState> {
+    const result = await this.askAlone(server, path, timeoutMs);
+    switch (result.kind) {
+      case 'message': {
+        const id = fieldOf(result, this.wire.headers.serverId);
+        const isItself = id === undefined || id === server.entry.id;
+        return isItself ? ProcessState.Running : ProcessState.Ended;
+      }
+      case 'not_sent':
+        return result.detail === 'ECONNREFUSED'
+          ? ProcessState.Ended
+          : ProcessState.Unknown;
+      case 'broken':
+      case 'late':
+      case 'abandoned':
+        return ProcessState.Unknown;
+      default:
+        return result satisfies never;
+    }
+  }
+
+  /** Asks for the health of a server on a connection of its own. */
+  private async askAlone(
+    {entry}: SharedServer,
+    path: string,
+    timeoutMs: number,
+  ): Promise<ExchangeResult> {
     using connection = new BackendConnection(
       entry.address,
       this.memory,
       timeoutMs,
     );
-    const result = await connection.exchange(
+    return await connection.exchange(
       () => healthRequest(entry.address, path),
       timeoutMs,
       NEVER_ABORTED,
     );
-    return result.kind === 'message';
   }
 
   /** Closes the connections to a server that has been removed. */
@@ -183,11 +231,13 @@
       return {kind: 'not_run', misplaced: false, load};
     }
     if (echoedId === undefined) {
-      return {kind: 'lost', detail: 'the answer has no request id'};
+      const detail = 'the answer has no request id';
+      return {kind: 'lost', detail, brokeOff: false};
     }
     const isSuccess = status >= SUCCESS.first && status <= SUCCESS.last;
     if (isSuccess && fieldOf(message, headers.signature) === undefined) {
-      return {kind: 'lost', detail: 'the answer is not signed'};
+      const detail = 'the answer is not signed';
+      return {kind: 'lost', detail, brokeOff: false};
     }
     const flatHeaders = Object.entries(message.headers).flatMap(
       ([name, value]) => [value ?? []].flat().flatMap(v => [name, v]),
--- a/packages/gateway/src/backend_server/send_result.ts
+++ b/packages/gateway/src/backend_server/send_result.ts
@@ -26,7 +26,12 @@
   /** No byte of the request was sent. */
   | {readonly kind: 'not_sent'; readonly detail: string}
   /** The request may have run, but there is no usable answer. */
-  | {readonly kind: 'lost'; readonly detail: string}
+  | {
+      readonly kind: 'lost';
+      readonly detail: string;
+      /** Whether no whole answer came, so that the server may have ended. */
+      readonly brokeOff: boolean;
+    }
   /** No answer arrived in time; the request may have run. */
   | {readonly kind: 'late'}
   /** The caller disconnected; the request may have run. */
--- a/packages/gateway/src/instance/gateway.ts
+++ b/packages/gateway/src/instance/gateway.ts
@@ -16,6 +16,7 @@
 import {Prober} from '../backend_server/prober.js';
 import {StatementRecorder} from '../backend_server/statement_recorder.js';
 import {CallerServer} from '../caller/caller_server.js';
+import {ProcessExaminer} from '../content/process_examiner.js';
 import type {GatewayLog} from '../log/gateway_log.js';
 import type {GatewayMetrics} from '../metrics/gateway_metrics.js';
 import type {RowSource} from '../platform/row_source.js';
@@ -171,6 +172,7 @@
       instanceCount: () => newsExchange.instanceCount,
       stopPlan: () => this.stopPlan,
       reach: this.reach,
+      examiner: new ProcessExaminer(this.deployment, this.backendClient),
       log,
       metrics,
     };
--- a/packages/gateway/src/request/request_run.ts
+++ b/packages/gateway/src/request/request_run.ts
@@ -15,6 +15,7 @@
   type SharedService,
 } from '@ragworthall/balancer';
 import type {SendResult, ServerAnswer} from '../backend_server/send_result.js';
+import {contentFingerprint} from '../content/content_fingerprint.js';
 import type {RequestLog} from '../log/request_log.js';
 import {refusalOnArrival} from './arrival_check.js';
 import {
@@ -27,6 +28,7 @@
 import type {RequestQueue} from './request_queue.js';
 import {reportEnd} from './request_report.js';
 import type {RunContext} from './run_context.js';
+import {recordSend} from './send_record.js';
 
 /** A request with less time left than this is not sent, milliseconds. */
 const MIN_LEFT_MS = 10;
@@ -40,10 +42,6 @@
 const IDEMPOTENT_IDLE_MS = 8_000;
 /** Maximum sends that fail before their first byte; they do not count as attempts. */
 const MAX_UNSENT = 3;
-/** A missing answer counts as a failure after this many times the expected duration. */
-const OVERDUE_FACTOR = 5;
-/** Assumed age of an arriving load report, milliseconds; it may lack requests sent since then. */
-const REPORT_TRANSIT_MS = 4;
 
 /** Handles one request until it is answered or has failed. */
 export async function runRequest(
@@ -292,52 +290,28 @@
         ms: Math.round(now - startedAt),
       });
     }
-    this.recordResult(server, result, now, now - startedAt);
+    if (result.kind === 'lost' && result.brokeOff) void this.examine(server);
+    recordSend(context, server, result, {
+      now,
+      tookMs: now - startedAt,
+      expectedMs: this.expectedMs,
+    });
     if (result.kind === 'answered' && result.answer.status < SERVER_ERROR) {
       service.recordDuration(route.name, now - startedAt, cost);
     }
     return this.resultToEnd(result);
   }
 
-  /** Updates the state of a server from the result of a send. */
-  private recordResult(
-    server: SharedServer,
-    result: SendResult,
-    now: number,
-    tookMs: number,
-  ): void {
-    switch (result.kind) {
-      case 'answered':
-        server.recordResponse();
-        this.context.reach.recordResponse();
-        if (result.load)
-          server.recordLoadReport(result.load, now - REPORT_TRANSIT_MS, now);
-        if (result.answer.status >= SERVER_ERROR) server.recordFailure(now);
-        else server.recordSuccess(now);
-        return;
-      case 'not_run':
-        server.recordResponse();
-        if (result.load)
-          server.recordLoadReport(result.load, now - REPORT_TRANSIT_MS, now);
-        if (result.misplaced) server.markMisplaced();
-        else server.recordFailure(now);
-        return;
-      case 'not_sent':
-        server.recordNoResponse(now);
-        this.context.reach.recordFailure(server);
-        return;
-      case 'lost':
-      case 'late':
-        server.recordFailure(now);
-        return;
-      case 'abandoned':
-        // A server that is long overdue has failed, though the caller left first.
-        if (tookMs > this.expectedMs * OVERDUE_FACTOR)
-          server.recordFailure(now);
-        return;
-      default:
-        result satisfies never;
-    }
+  /** Logs whether a server has ended under the request. Never rejects. */
+  private async examine(server: SharedServer): Promise<void> {
+    const {context, request} = this;
+    const process = await context.examiner.examine(server);
+    context.log.stateChange('server_examined', {
+      server: server.entry.id,
+      process,
+      request: request.id,
+      content: contentFingerprint(request),
+    });
   }
 
   /** Returns how the request ends with this result; undefined if it may be sent again. */
