Stop sending content that ends its servers, for the whole fleet

Cause: this front end judged each request alone; nothing knew that several had the same content. Class: evidence that no single request or instance can see.

Change: CrashRecord counts the ends of servers under a content, each under a request sent when the one before was known, so that a rack that fails with many copies of a harmless content is one end. After the first end one request of the fleet runs at a time, under a claim in the store; after the third the content is refused as not run, for 30 s and then longer, with one trial of the fleet between two refusals. The records are rows of a table that all instances follow, so others and restarted ones know them. RunLock is taken out of ContentQuarantine and serves both. The third table costs few calls: followers wake each other when the store returns, and a change of role is told only when the role changes.

--- a/packages/balancer/src/instance/deployment.test.ts
+++ b/packages/balancer/src/instance/deployment.test.ts
@@ -33,11 +33,13 @@
   t.is(deployment.routes?.configuration.version, 5);
 });
 
-test('requests are served only when routes and servers are known', t => {
+test('requests are served only when routes, servers and contents are known', t => {
   const deployment = createDeployment();
   deployment.configure(configuration(1));
   t.false(deployment.isKnown);
   deployment.markRegistryRead();
+  t.false(deployment.isKnown);
+  deployment.markContentsRead();
   t.true(deployment.isKnown);
 });
 
--- a/packages/balancer/src/instance/deployment.ts
+++ b/packages/balancer/src/instance/deployment.ts
@@ -46,6 +46,7 @@
 export class Deployment {
   private routeTable: RouteTable | undefined;
   private registryKnown = false;
+  private contentsKnown = false;
   private knownListener: (() => void) | undefined;
   private readonly services = new Map<string, SharedService>();
   private readonly servers = new Map<string, SharedServer>();
@@ -62,9 +63,14 @@
     return this.routeTable;
   }
 
-  /** Whether requests can be served: routes and servers are known. */
+  /**
+   * Whether requests can be served: routes and servers are known, and the contents
+   * under which servers ended as far as the store tells.
+   */
   get isKnown(): boolean {
-    return this.routeTable !== undefined && this.registryKnown;
+    return (
+      this.routeTable !== undefined && this.registryKnown && this.contentsKnown
+    );
   }
 
   /** Calls `listener` when requests can be served for the first time. */
@@ -165,6 +171,12 @@
     this.notifyIfKnown();
   }
 
+  /** Records that the contents under which servers ended were read, or cannot be. */
+  markContentsRead(): void {
+    this.contentsKnown = true;
+    this.notifyIfKnown();
+  }
+
   private notifyIfKnown(): void {
     if (!this.isKnown) return;
     this.knownListener?.();
--- a/packages/balancer/src/instance/table_position.ts
+++ b/packages/balancer/src/instance/table_position.ts
@@ -8,7 +8,7 @@
  * reads it itself, milliseconds. Leaves time for one read within the shortest
  * bound on staleness, two seconds for configurations and leaving servers.
  */
-const MAX_CONFIRMATION_AGE_MS = 1_300;
+export const CONFIRMATION_AGE_MS = 1_300;
 /** Time to wait for others to send the rows of a known change, milliseconds. */
 const CATCH_UP_WAIT_MS = 250;
 
@@ -59,6 +59,11 @@
   /** Newest version that others have announced. */
   private announcedVersion = -1;
 
+  /** @param confirmationAgeMs Longest time without a confirmation, milliseconds. */
+  constructor(
+    private readonly confirmationAgeMs: number = CONFIRMATION_AGE_MS,
+  ) {}
+
   /** The known version; -1 before the first read. */
   get version(): number {
     return this.knownVersion;
@@ -66,7 +71,7 @@
 
   /** Time by which this instance has to read the table, milliseconds. */
   get readDueAt(): number {
-    const staleAt = this.confirmedAt + MAX_CONFIRMATION_AGE_MS;
+    const staleAt = this.confirmedAt + this.confirmationAgeMs;
     if (this.behindSince === undefined) return staleAt;
     return Math.min(staleAt, this.behindSince + CATCH_UP_WAIT_MS);
   }
--- a/packages/balancer/src/service/content_quarantine.ts
+++ b/packages/balancer/src/service/content_quarantine.ts
@@ -5,7 +5,7 @@
  * server, so that each further crash can be attributed to one content. After a
  * few crashes without a success, the content is quarantined for some time.
  */
-import {offAbort, onAbort} from '../link/abort.js';
+import {RunLock} from '../content/run_lock.js';
 import {type Call, RefusalReason, type Refused} from '../link/call.js';
 import {type Timers} from '../link/clock.js';
 import {refusedNotRun} from '../request_key/request_ledger.js';
@@ -75,9 +75,8 @@
   lastServer: string;
   quarantinedUntil: number;
   quarantineCount: number;
-  running: boolean;
-  /** Callbacks that wake the calls waiting for the lock. */
-  readonly waiting: Set<() => void>;
+  /** Held by the call that runs. */
+  readonly lock: RunLock;
 }
 
 const CLEAR: {readonly kind: 'clear'} = {kind: 'clear'};
@@ -138,9 +137,10 @@
             Math.ceil(status.until - now),
           );
         case 'suspect': {
-          const content = this.contents.get(call.fingerprint)!;
-          if (!content.running) return this.lock(content);
-          await this.waitForRelease(content, call.deadline - now, signal);
+          const {lock} = this.contents.get(call.fingerprint)!;
+          const held = lock.tryTake();
+          if (held) return {kind: 'exclusive', lock: held};
+          await lock.wait(call.deadline - now, signal);
           break;
         }
         default:
@@ -235,7 +235,7 @@
     const content = this.contents.get(fingerprint);
     if (!content) return false;
     this.contents.delete(fingerprint);
-    wakeAll(content);
+    content.lock.wakeAll();
     return true;
   }
 
@@ -249,8 +249,7 @@
       lastServer: '',
       quarantinedUntil: -Infinity,
       quarantineCount: 0,
-      running: false,
-      waiting: new Set(),
+      lock: new RunLock(this.timers),
     };
     this.contents.set(fingerprint, content);
     return content;
@@ -264,33 +263,6 @@
     }
   }
 
-  private lock(content: Content): RunPermission {
-    content.running = true;
-    const release = () => {
-      content.running = false;
-      wakeAll(content);
-    };
-    return {kind: 'exclusive', lock: {[Symbol.dispose]: release}};
-  }
-
-  private async waitForRelease(
-    content: Content,
-    timeLeftMs: number,
-    signal: AbortSignal,
-  ): Promise<void> {
-    await new Promise<void>(resolve => {
-      const timer = this.timers.set(timeLeftMs, () => wake());
-      const wake = () => {
-        timer[Symbol.dispose]();
-        offAbort(signal, wake);
-        content.waiting.delete(wake);
-        resolve();
-      };
-      content.waiting.add(wake);
-      onAbort(signal, wake);
-    });
-  }
-
   private notifyListeners(report: ContentReport): void {
     this.listeners.forEach(listener => listener(report));
   }
@@ -303,9 +275,5 @@
   content.quarantineCount += 1;
   // After the release, one more crash quarantines the content again.
   content.crashes = CRASHES_TO_QUARANTINE - 1;
-  wakeAll(content);
-}
-
-function wakeAll(content: Content): void {
-  [...content.waiting].forEach(wake => wake());
+  content.lock.wakeAll();
 }
--- /dev/null
+++ b/packages/gateway/src/content/content_guard.ts
@@ -0,0 +1,158 @@
+/**
+ * Decides whether a request may be sent, by the servers that ended under requests
+ * with its content, and finds out whether one ended under it.
+ */
+import type {SharedServer} from '@ragworthall/balancer';
+import {ProcessState} from '../backend_server/backend_client.js';
+import type {SendResult} from '../backend_server/send_result.js';
+import type {GatewayLog} from '../log/gateway_log.js';
+import {orTimeout} from '../request/promise_race.js';
+import {type Content, contentFingerprint} from './content_fingerprint.js';
+import {ContentRun} from './content_run.js';
+import type {ProcessExaminer} from './process_examiner.js';
+import {RowWrite, type SharedContents} from './shared_contents.js';
+
+/** Time that a suspect content waits for its claim, milliseconds. */
+const CLAIM_WAIT_MS = 100;
+/** Time for which a claim outlasts the deadline of its request, milliseconds. */
+const CLAIM_MARGIN_MS = 500;
+/** Time for which a server is examined before the next send, milliseconds. */
+const MAX_EXAMINE_WAIT_MS = 150;
+/** Time after which a caller may return if the store takes no claim, milliseconds. */
+const NO_CLAIM_RETRY_MS = 1_000;
+
+/** A request whose content may be suspect. */
+export interface GuardedRequest extends Content {
+  readonly id: string;
+  /** Aborted when the caller has disconnected. */
+  readonly callerGone: AbortSignal;
+}
+
+/** Whether a request may be sent. */
+export type ContentPermission =
+  | {readonly kind: 'granted'; readonly run: ContentRun}
+  | {readonly kind: 'refused'; readonly forMs: number}
+  /** It waited too long for another request with its content. */
+  | {readonly kind: 'no_time'};
+
+/** Guards the servers against contents under which they end. */
+export class ContentGuard {
+  constructor(
+    private readonly contents: SharedContents,
+    private readonly examiner: ProcessExaminer,
+    private readonly log: GatewayLog,
+  ) {}
+
+  /**
+   * Waits until a request may be sent; at once unless its content is suspect.
+   *
+   * @param timeLeftMs Returns the time within which it has to be sent.
+   */
+  async waitForPermission(
+    request: GuardedRequest,
+    timeLeftMs: () => number,
+  ): Promise<ContentPermission> {
+    const {contents} = this;
+    const free = new ContentRun(contents, request, 0);
+    // The common case is fast: no content is suspect.
+    if (contents.size === 0) return granted(free);
+    const fingerprint = contentFingerprint(request);
+    for (;;) {
+      const status = contents.statusOf(fingerprint, Date.now());
+      const leftMs = timeLeftMs();
+      switch (status.kind) {
+        case 'clear':
+          return granted(free);
+        case 'refused':
+          return status;
+        case 'claimed':
+        case 'suspect':
+        case 'trial':
+          break;
+        default:
+          status satisfies never;
+      }
+      if (leftMs <= 0 || request.callerGone.aborted) return {kind: 'no_time'};
+      const isClaimed = status.kind === 'claimed';
+      const lock = contents.lockOf(fingerprint);
+      const held = isClaimed ? undefined : lock.tryTake();
+      if (!held) {
+        const waitMs = isClaimed ? Math.min(status.forMs, leftMs) : leftMs;
+        await lock.wait(waitMs, request.callerGone);
+        continue;
+      }
+      const isTrial = status.kind === 'trial';
+      const claimed = await contents.claim(
+        fingerprint,
+        Date.now() + leftMs + CLAIM_MARGIN_MS,
+        isTrial ? leftMs : CLAIM_WAIT_MS,
+      );
+      // Without the store, a suspect content runs alone here at least.
+      const mayRun =
+        claimed === RowWrite.Written ||
+        (claimed === RowWrite.Failed && !isTrial);
+      if (mayRun) {
+        const knownEnds = contents.knownEnds(fingerprint);
+        return granted(new ContentRun(contents, request, knownEnds, held));
+      }
+      held[Symbol.dispose]();
+      if (claimed === RowWrite.Failed) {
+        return {kind: 'refused', forMs: NO_CLAIM_RETRY_MS};
+      }
+    }
+  }
+
+  /**
+   * Learns from a send whether servers end under the content. Resolves when that
+   * is known, as far as the request may be sent again. Never rejects.
+   */
+  async recordSend(
+    run: ContentRun,
+    request: GuardedRequest,
+    server: SharedServer,
+    result: SendResult,
+  ): Promise<void> {
+    switch (result.kind) {
+      case 'answered':
+        run.recordAnswer();
+        return;
+      case 'lost':
+        if (result.brokeOff) {
+          await orTimeout(
+            this.examine(run, request, server),
+            MAX_EXAMINE_WAIT_MS,
+          );
+        }
+        return;
+      case 'late':
+        void this.examine(run, request, server);
+        return;
+      case 'not_run':
+      case 'not_sent':
+      case 'abandoned':
+        return;
+      default:
+        result satisfies never;
+    }
+  }
+
+  /** Examines a server that did not answer. Never rejects. */
+  private async examine(
+    run: ContentRun,
+    {id}: GuardedRequest,
+    server: SharedServer,
+  ): Promise<void> {
+    const process = await this.examiner.examine(server);
+    this.log.stateChange('server_examined', {
+      server: server.entry.id,
+      process,
+      request: id,
+      content: run.fingerprint,
+    });
+    if (process === ProcessState.Ended) run.recordEnd(Date.now());
+  }
+}
+
+function granted(run: ContentRun): ContentPermission {
+  return {kind: 'granted', run};
+}
--- /dev/null
+++ b/packages/gateway/src/content/content_run.ts
@@ -0,0 +1,52 @@
+/** The sends of one request, and what they show of its content. */
+import {type Content, contentFingerprint} from './content_fingerprint.js';
+import type {SharedContents} from './shared_contents.js';
+
+/** One or more sends of a request; has to be disposed of after the last one. */
+export class ContentRun implements Disposable {
+  private isDecided = false;
+  private knownFingerprint: string | undefined;
+
+  /**
+   * @param knownEnds Number of ends that were known when it began.
+   * @param lock Held if no other request with its content may run.
+   */
+  constructor(
+    private readonly contents: SharedContents,
+    private readonly content: Content,
+    private readonly knownEnds: number,
+    private readonly lock?: Disposable,
+  ) {}
+
+  /** Whether no other request with this content may run. */
+  get isExclusive(): boolean {
+    return this.lock !== undefined;
+  }
+
+  /** Computed when needed: most requests need none. */
+  get fingerprint(): string {
+    this.knownFingerprint ??= contentFingerprint(this.content);
+    return this.knownFingerprint;
+  }
+
+  /** Records that a server answered it. */
+  recordAnswer(): void {
+    if (this.contents.size === 0) return;
+    if (this.contents.knownEnds(this.fingerprint) === 0) return;
+    this.isDecided = true;
+    this.contents.record(this.fingerprint, {kind: 'answered'});
+  }
+
+  /** Records that a server ended under it, at Unix milliseconds `at`. */
+  recordEnd(at: number): void {
+    this.isDecided = true;
+    const {knownEnds} = this;
+    this.contents.record(this.fingerprint, {kind: 'ended', knownEnds, at});
+  }
+
+  [Symbol.dispose](): void {
+    if (!this.lock) return;
+    if (!this.isDecided) this.contents.release(this.fingerprint);
+    this.lock[Symbol.dispose]();
+  }
+}
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,5 @@
 /** Public modules of the gateway. */
+export * from './content/content_table.js';
 export * from './instance/gateway.js';
 export * from './instance/pause_guard.js';
 export type {ServingCheck} from './instance/reach_monitor.js';
--- a/packages/gateway/src/instance/configuration_sink.ts
+++ b/packages/gateway/src/instance/configuration_sink.ts
@@ -25,6 +25,10 @@
     rows.forEach(row => this.apply(row));
   }
 
+  storeLost(): void {
+    // What is known is served on.
+  }
+
   storeRegained(): void {
     // Configurations are versioned: old ones are ignored, with or without an outage.
   }
--- a/packages/gateway/src/instance/gateway.ts
+++ b/packages/gateway/src/instance/gateway.ts
@@ -16,13 +16,16 @@
 import {Prober} from '../backend_server/prober.js';
 import {StatementRecorder} from '../backend_server/statement_recorder.js';
 import {CallerServer} from '../caller/caller_server.js';
+import {ContentGuard} from '../content/content_guard.js';
+import type {ContentTable} from '../content/content_table.js';
+import {SharedContents} from '../content/shared_contents.js';
 import {ProcessExaminer} from '../content/process_examiner.js';
 import type {GatewayLog} from '../log/gateway_log.js';
 import type {GatewayMetrics} from '../metrics/gateway_metrics.js';
 import type {RowSource} from '../platform/row_source.js';
 import type {FleetDirectory} from '../peer/fleet_directory.js';
 import {NewsExchange} from '../peer/news_exchange.js';
-import {type FollowTiming, TableFollower} from '../platform/table_follower.js';
+import {TableFollower} from '../platform/table_follower.js';
 import type {WireFormat} from '../platform/wire_format.js';
 import {runRequest} from '../request/request_run.js';
 import {RequestQueues} from '../request/request_queue.js';
@@ -31,6 +34,11 @@
 import {ReachMonitor, type ServingCheck} from './reach_monitor.js';
 import type {PauseGuard} from './pause_guard.js';
 import {RegistrySink} from './registry_sink.js';
+import {
+  CONFIGURATION_TIMING,
+  CONTENTS_TIMING,
+  REGISTRY_TIMING,
+} from './table_timings.js';
 
 /** Time for which callers may cache an address answer, milliseconds. */
 const ADDRESS_TTL_MS = 1_000;
@@ -41,26 +49,6 @@
  * rest is for a slow process to end by itself.
  */
 const GRACE_FRACTION = 0.93;
-/** Long-poll time while other instances listen, milliseconds; see `TablePosition`. */
-const RELAY_LONG_POLL_MS = 1_000;
-/**
- * The long-poll time limits how long a dead connection to the store goes
- * unnoticed; a new configuration has to be in force within two seconds.
- */
-const CONFIGURATION_TIMING: FollowTiming = {
-  longPollMs: 2_000,
-  relayLongPollMs: RELAY_LONG_POLL_MS,
-  batchMs: 100,
-};
-/**
- * Probes also detect servers that are leaving, so the long poll may be longer.
- * With many servers some entry is always changing, so changes are batched.
- */
-const REGISTRY_TIMING: FollowTiming = {
-  longPollMs: 5_000,
-  relayLongPollMs: RELAY_LONG_POLL_MS,
-  batchMs: 700,
-};
 /** Pause before a task that an error ended runs again, milliseconds. */
 const TASK_RESTART_MS = 1_000;
 /** Interval at which the requests in flight are checked while draining, milliseconds. */
@@ -88,6 +76,7 @@
   readonly wire: WireFormat;
   readonly registry: RowSource<ServerEntry>;
   readonly configurations: RowSource<RoutingConfiguration>;
+  readonly contents: ContentTable;
   readonly clock: PauseGuard;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
@@ -107,6 +96,7 @@
   private readonly backendClient: BackendClient;
   private readonly callerServer: CallerServer;
   private readonly registrySink: RegistrySink;
+  private readonly contents: SharedContents;
   private readonly tasks = new AbortController();
   private running: Promise<unknown> = Promise.resolve();
   private readonly reach: ReachMonitor;
@@ -160,6 +150,12 @@
       probeRateLimiter,
       this.reach,
     );
+    this.contents = new SharedContents(
+      options.instance,
+      options.contents,
+      log,
+      () => this.deployment.markContentsRead(),
+    );
     const context = {
       deployment: this.deployment,
       queues: new RequestQueues(prober, clock, err =>
@@ -172,7 +168,11 @@
       instanceCount: () => newsExchange.instanceCount,
       stopPlan: () => this.stopPlan,
       reach: this.reach,
-      examiner: new ProcessExaminer(this.deployment, this.backendClient),
+      contentGuard: new ContentGuard(
+        this.contents,
+        new ProcessExaminer(this.deployment, this.backendClient),
+        log,
+      ),
       log,
       metrics,
     };
@@ -189,6 +189,7 @@
       servers: () => this.deployment.serversTakingWork,
       probes: () => prober.sent,
       inFlight: () => this.callerServer.inFlight,
+      suspectContents: () => this.contents.size,
       isCutOff: () => this.reach.isCutOff,
     });
     this.deployment.onceKnown(() =>
@@ -277,13 +278,20 @@
   }
 
   private followTables(): void {
-    const {registry, configurations, clock, log, metrics} = this.options;
+    const {registry, configurations, contents} = this.options;
+    const {clock, log, metrics} = this.options;
     const configurationSink = new ConfigurationSink(
       this.deployment,
       log,
       limits => this.callerServer.applyLimits(limits),
     );
-    const context = {exchange: this.newsExchange, clock, log, metrics};
+    const context = {
+      exchange: this.newsExchange,
+      storeReturned: new Set<() => void>(),
+      clock,
+      log,
+      metrics,
+    };
     const followers = [
       new TableFollower(
         'registry',
@@ -299,14 +307,24 @@
         context,
         CONFIGURATION_TIMING,
       ),
+      new TableFollower(
+        'contents',
+        contents,
+        this.contents,
+        context,
+        CONTENTS_TIMING,
+      ),
     ];
     followers.forEach(follower =>
       this.options.clock.onPauseConfirm(() => follower.confirm()),
     );
     const {signal} = this.tasks;
-    const tasks = [...followers, this.newsExchange, this.reach].map(task =>
-      this.keepRunning(task, signal),
-    );
+    const tasks = [
+      ...followers,
+      this.contents,
+      this.newsExchange,
+      this.reach,
+    ].map(task => this.keepRunning(task, signal));
     this.running = Promise.all(tasks);
   }
 
--- a/packages/gateway/src/instance/registry_sink.ts
+++ b/packages/gateway/src/instance/registry_sink.ts
@@ -35,6 +35,10 @@
     rows.forEach(row => this.apply(row, now));
   }
 
+  storeLost(): void {
+    // What is known is served on.
+  }
+
   storeRegained(now: number): void {
     this.lapsed.registryRecovered(now);
   }
--- a/packages/gateway/src/metrics/gateway_metrics.ts
+++ b/packages/gateway/src/metrics/gateway_metrics.ts
@@ -17,6 +17,8 @@
   probes(): number;
   /** Requests in flight. */
   inFlight(): number;
+  /** Contents under which servers ended. */
+  suspectContents(): number;
   /** Whether no server can be reached. */
   isCutOff(): boolean;
 }
@@ -86,6 +88,11 @@
     this.gauge('ragworthall_requests_in_flight', 'Requests in flight', () =>
       sources.inFlight(),
     );
+    this.gauge(
+      'ragworthall_suspect_contents',
+      'Request contents under which servers ended',
+      () => sources.suspectContents(),
+    );
     this.gauge(
       'ragworthall_cut_off',
       '1 while this instance reaches no backend server',
--- a/packages/gateway/src/peer/news_exchange.ts
+++ b/packages/gateway/src/peer/news_exchange.ts
@@ -85,6 +85,8 @@
   private readonly roleListeners = new Set<() => void>();
   private readonly dialler: Dialler;
   private chosenSources: readonly UpdateSource[] = [];
+  /** What decides whether this instance polls the store, as a text. */
+  private role = '';
   private listeners!: NewsListeners;
 
   private constructor(private readonly options: NewsExchangeOptions) {
@@ -239,6 +241,12 @@
   private chooseSources(): void {
     this.chosenSources = this.sources.select(this.options.clock.now());
     this.dialler.setTargets(this.chosenSources.map(s => s.instance.address));
+    const sources = this.chosenSources.map(
+      ({instance, givesRows}) => `${instance.id} ${givesRows}`,
+    );
+    const role = [this.isFleetKnown, ...sources].join();
+    if (role === this.role) return;
+    this.role = role;
     this.notifyRoleChange();
   }
 
--- a/packages/gateway/src/platform/row_source.ts
+++ b/packages/gateway/src/platform/row_source.ts
@@ -12,12 +12,19 @@
 
 /** A row with its decoded value, or the reason why it has none. */
 export type DecodedRow<T> =
-  | {readonly kind: 'value'; readonly key: string; readonly value: T}
+  | {
+      readonly kind: 'value';
+      readonly key: string;
+      readonly value: T;
+      /** Version of the store at which it was written. */
+      readonly version: number;
+    }
   | {readonly kind: 'removed'; readonly key: string}
   /** The row does not have the expected format. */
   | {
       readonly kind: 'unreadable';
       readonly key: string;
+      readonly version: number;
       readonly detail: string;
     };
 
--- a/packages/gateway/src/platform/table_follower.ts
+++ b/packages/gateway/src/platform/table_follower.ts
@@ -17,10 +17,6 @@
   StoreError,
 } from './row_source.js';
 
-/** Delay after the first failed call, milliseconds; it doubles with each failure. */
-const MIN_RETRY_DELAY_MS = 150;
-/** Maximum delay after a failed call, milliseconds. */
-const MAX_RETRY_DELAY_MS = 800;
 /**
  * Delay after a failed call while the sources of this instance do not reach the
  * store either, milliseconds. They tell when it is back.
@@ -31,8 +27,19 @@
 export interface FollowTiming {
   /** Longest time that the store may delay its answer when nothing changes, milliseconds. */
   readonly longPollMs: number;
-  /** The same while other instances listen: they need confirmation that they are current. */
+  /** The same while other instances listen; below `confirmationAgeMs`: they need confirmation that they are current. */
   readonly relayLongPollMs: number;
+  /** Age of the last confirmation after which the table is read, milliseconds. */
+  readonly confirmationAgeMs: number;
+  /**
+   * Whether to wait for changes while the fleet is unknown. Otherwise the table as
+   * it was read counts as current until its next confirmation is due.
+   */
+  readonly pollsUntilFleetKnown: boolean;
+  /** Delay after the first failed call, milliseconds; it doubles with each failure. */
+  readonly minRetryMs: number;
+  /** Maximum delay after a failed call, milliseconds. */
+  readonly maxRetryMs: number;
   /** Delay after a change, so that following changes are read in one call, milliseconds. */
   readonly batchMs: number;
 }
@@ -43,6 +50,8 @@
   replace(rows: readonly DecodedRow<T>[], now: number): void;
   /** Applies changed rows. */
   update(rows: readonly DecodedRow<T>[], now: number): void;
+  /** Called when the store does not answer, or refuses. */
+  storeLost(): void;
   /** Called when the store answers again after an outage. */
   storeRegained(now: number): void;
 }
@@ -50,6 +59,8 @@
 /** Dependencies of a follower. */
 export interface FollowerContext {
   readonly exchange: NewsExchange;
+  /** Wakes the followers of other tables that wait for the store to return. */
+  readonly storeReturned: Set<() => void>;
   readonly clock: Clock;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
@@ -57,7 +68,7 @@
 
 /** Follows one table in a task of its own. */
 export class TableFollower<T> {
-  private readonly position = new TablePosition();
+  private readonly position: TablePosition;
   private failures = 0;
   /** Whether the latest update of a source was that the store does not answer. */
   private sourcesLostStore = false;
@@ -74,10 +85,12 @@
     private readonly context: FollowerContext,
     private readonly timing: FollowTiming,
   ) {
+    this.position = new TablePosition(timing.confirmationAgeMs);
     context.exchange.onUpdate(table, (update, givesRows) =>
       this.applyPeerUpdate(update, givesRows),
     );
     context.exchange.onRoleChange(() => this.pollPause.wake());
+    context.storeReturned.add(() => this.pollPause.wake());
   }
 
   /** Runs until the signal is aborted. */
@@ -162,9 +175,8 @@
   /** Time for which this instance relies on updates from other instances, milliseconds. */
   private pollDelayMs(): number {
     const {exchange, clock} = this.context;
-    // Before the fleet is known, the table as it was read counts as current.
-    const readsForItself = exchange.isFleetKnown && !exchange.hasSources;
-    if (readsForItself) return 0;
+    const mayRead = exchange.isFleetKnown || this.timing.pollsUntilFleetKnown;
+    if (mayRead && !exchange.hasSources) return 0;
     return this.position.readDueAt - clock.now();
   }
 
@@ -255,6 +267,7 @@
     this.failures = 0;
     this.context.log.dependency('store_regained', {table: this.table});
     this.sink.storeRegained(now);
+    this.context.storeReturned.forEach(wake => wake());
   }
 
   private async storeFailed(
@@ -267,6 +280,7 @@
     if (this.failures === 0) {
       const {kind: cause, detail} = err;
       log.dependency('store_lost', {table: this.table, cause, detail});
+      this.sink.storeLost();
     }
     exchange.publish(this.table, {kind: 'no_answer'});
     const delayMs = this.retryDelayMs();
@@ -276,10 +290,10 @@
 
   /** Delay before the next call after a failed one, milliseconds. */
   private retryDelayMs(): number {
+    const {minRetryMs, maxRetryMs} = this.timing;
     if (this.sourcesLostStore && this.context.exchange.hasSources) {
-      return COMMON_OUTAGE_RETRY_MS;
+      return Math.max(COMMON_OUTAGE_RETRY_MS, maxRetryMs);
     }
-    const delayMs = MIN_RETRY_DELAY_MS * 2 ** Math.min(this.failures, 8);
-    return Math.min(MAX_RETRY_DELAY_MS, delayMs);
+    return Math.min(maxRetryMs, minRetryMs * 2 ** Math.min(this.failures, 8));
   }
 }
--- a/packages/gateway/src/request/caller_request.ts
+++ b/packages/gateway/src/request/caller_request.ts
@@ -34,6 +34,8 @@
   NoRoute: 'no_route',
   /** No server had free capacity in time. */
   NoCapacity: 'no_room',
+  /** Servers ended under requests with its content. */
+  EndsServers: 'ends_servers',
   /** Every server that was tried rejected the request without running it. */
   Shed: 'shed',
   /** The request was sent, but its answer was lost. */
--- a/packages/gateway/src/request/request_run.ts
+++ b/packages/gateway/src/request/request_run.ts
@@ -15,7 +15,7 @@
   type SharedService,
 } from '@ragworthall/balancer';
 import type {SendResult, ServerAnswer} from '../backend_server/send_result.js';
-import {contentFingerprint} from '../content/content_fingerprint.js';
+import type {ContentRun} from '../content/content_run.js';
 import type {RequestLog} from '../log/request_log.js';
 import {refusalOnArrival} from './arrival_check.js';
 import {
@@ -108,25 +108,7 @@
 
   async run(): Promise<RequestEnd> {
     for (;;) {
-      const found = await this.queue.find(
-        this.placement,
-        this.request.callerGone,
-      );
-      if (found.kind === 'dropped') return this.dropped(found.why);
-      const {candidate} = found;
-      // After a pause the choice may rest on what has changed meanwhile.
-      const settled = this.context.clock.settled();
-      if (settled) {
-        candidate.server.recordEnd();
-        await settled;
-        continue;
-      }
-      const refusal = this.refusalBeforeSend();
-      if (refusal) {
-        candidate.server.recordEnd();
-        return refusal;
-      }
-      const end = await this.attempt(candidate);
+      const end = await this.runOnce();
       if (end) return end;
       const exhausted =
         this.sends >= this.route.maxAttempts || this.unsent > MAX_UNSENT;
@@ -134,6 +116,46 @@
     }
   }
 
+  /** Finds a server and sends the request; undefined if it may be sent again. */
+  private async runOnce(): Promise<RequestEnd | undefined> {
+    const permission = await this.context.contentGuard.waitForPermission(
+      this.request,
+      () => this.deadline - this.context.clock.now() - this.expectedMs,
+    );
+    switch (permission.kind) {
+      case 'granted':
+        break;
+      case 'refused':
+        return this.giveUp(Failure.EndsServers, permission.forMs);
+      case 'no_time':
+        return this.request.callerGone.aborted
+          ? {kind: 'abandoned'}
+          : this.giveUp(Failure.Expired);
+      default:
+        return permission satisfies never;
+    }
+    using contentRun = permission.run;
+    const found = await this.queue.find(
+      this.placement,
+      this.request.callerGone,
+    );
+    if (found.kind === 'dropped') return this.dropped(found.why);
+    const {candidate} = found;
+    // After a pause the choice may rest on what has changed meanwhile.
+    const settled = this.context.clock.settled();
+    if (settled) {
+      candidate.server.recordEnd();
+      await settled;
+      return undefined;
+    }
+    const refusal = this.refusalBeforeSend();
+    if (refusal) {
+      candidate.server.recordEnd();
+      return refusal;
+    }
+    return await this.attempt(candidate, contentRun);
+  }
+
   /** Returns how the request ends if it stops waiting for a server. */
   private dropped(why: DropReason): RequestEnd {
     switch (why) {
@@ -172,18 +194,24 @@
   }
 
   /** Sends the request, and a hedge if no answer comes soon; undefined if it may be sent again. */
-  private async attempt(found: Candidate): Promise<RequestEnd | undefined> {
-    const first = this.send(found);
+  private async attempt(
+    found: Candidate,
+    contentRun: ContentRun,
+  ): Promise<RequestEnd | undefined> {
+    const first = this.send(found, contentRun);
     const {idempotent, maxAttempts} = this.route;
-    if (!idempotent || this.sends >= maxAttempts) return first;
-    const second = await this.hedgeIfSlow(found.server, first);
-    return second ? firstDefined([first, second.end]) : first;
+    const mayHedge = idempotent && !contentRun.isExclusive;
+    // Awaited, since the run ends with the last send.
+    if (!mayHedge || this.sends >= maxAttempts) return await first;
+    const second = await this.hedgeIfSlow(found.server, first, contentRun);
+    return await (second ? firstDefined([first, second.end]) : first);
   }
 
   /** Watches a send; returns the hedge if one was sent. */
   private async hedgeIfSlow(
     server: SharedServer,
     first: Promise<RequestEnd | undefined>,
+    contentRun: ContentRun,
   ): Promise<HedgeSend | undefined> {
     const {clock, prober} = this.context;
     const sentAt = clock.now();
@@ -204,7 +232,7 @@
           break;
         }
         case 'hedge': {
-          const second = await this.sendHedge();
+          const second = await this.sendHedge(contentRun);
           if (second) return second;
           advice = checkLater(this.expectedMs);
           break;
@@ -233,7 +261,9 @@
   }
 
   /** Sends the request to a second server if one is known to be good. */
-  private async sendHedge(): Promise<HedgeSend | undefined> {
+  private async sendHedge(
+    contentRun: ContentRun,
+  ): Promise<HedgeSend | undefined> {
     const {context, request, service} = this;
     if (request.callerGone.aborted) return undefined;
     if (service.budget.remaining(context.clock.now()) < 1) return undefined;
@@ -246,14 +276,14 @@
       candidate.server.recordEnd();
       return undefined;
     }
-    return {end: this.send(candidate)};
+    return {end: this.send(candidate, contentRun)};
   }
 
   /** Sends the request once; undefined if it may be sent again. */
-  private async send({
-    server,
-    cost,
-  }: Candidate): Promise<RequestEnd | undefined> {
+  private async send(
+    {server, cost}: Candidate,
+    contentRun: ContentRun,
+  ): Promise<RequestEnd | undefined> {
     const {context, request, route, service} = this;
     const startedAt = context.clock.now();
     const timeLeftMs = this.deadline - startedAt;
@@ -290,7 +320,7 @@
         ms: Math.round(now - startedAt),
       });
     }
-    if (result.kind === 'lost' && result.brokeOff) void this.examine(server);
+    await context.contentGuard.recordSend(contentRun, request, server, result);
     recordSend(context, server, result, {
       now,
       tookMs: now - startedAt,
@@ -302,18 +332,6 @@
     return this.resultToEnd(result);
   }
 
-  /** Logs whether a server has ended under the request. Never rejects. */
-  private async examine(server: SharedServer): Promise<void> {
-    const {context, request} = this;
-    const process = await context.examiner.examine(server);
-    context.log.stateChange('server_examined', {
-      server: server.entry.id,
-      process,
-      request: request.id,
-      content: contentFingerprint(request),
-    });
-  }
-
   /** Returns how the request ends with this result; undefined if it may be sent again. */
   private resultToEnd(result: SendResult): RequestEnd | undefined {
     const {idempotent} = this.route;
@@ -341,10 +359,13 @@
     }
   }
 
-  private giveUp(reason: Failure): RequestEnd {
+  private giveUp(
+    reason: Failure,
+    retryAfterMs = this.retryDelayMs(),
+  ): RequestEnd {
     if (this.serverError) return {kind: 'answered', answer: this.serverError};
     if (this.mayHaveRun) return unknown(Failure.Lost);
-    return {kind: 'refused', reason, retryAfterMs: this.retryDelayMs()};
+    return {kind: 'refused', reason, retryAfterMs};
   }
 
   /** Delay after which the caller may retry, milliseconds. */
--- a/packages/gateway/src/request/run_context.ts
+++ b/packages/gateway/src/request/run_context.ts
@@ -1,7 +1,7 @@
 /** What the runs of all requests share. */
 import type {Deployment, Random, StopPlan} from '@ragworthall/balancer';
 import type {BackendClient} from '../backend_server/backend_client.js';
-import type {ProcessExaminer} from '../content/process_examiner.js';
+import type {ContentGuard} from '../content/content_guard.js';
 import type {Prober} from '../backend_server/prober.js';
 import type {ReachMonitor} from '../instance/reach_monitor.js';
 import type {PauseGuard} from '../instance/pause_guard.js';
@@ -22,7 +22,7 @@
   /** The stop in progress, once only open connections are served. */
   readonly stopPlan: () => StopPlan | undefined;
   readonly reach: ReachMonitor;
-  readonly examiner: ProcessExaminer;
+  readonly contentGuard: ContentGuard;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
 }
