Count a server that only resets connections as ended under a request

A server's end was seen only by a closed port or by another server at its address. Where something else holds the port, or connections are reset while it restarts, its content was never counted: the state was 'unknown'.

A server that is short of connections still answers on those it has.

--- a/packages/balancer/src/backend_server/shared_server.ts
+++ b/packages/balancer/src/backend_server/shared_server.ts
@@ -87,6 +87,8 @@
   loadQueriedAt = -Infinity;
   /** Whether the latest load query is unanswered. */
   isLoadQueryPending = false;
+  /** Number of its responses of any kind. */
+  responses = 0;
   /** What it states of itself. */
   readonly backpressure: Backpressure;
   private report: LoadReport | undefined;
@@ -260,6 +262,7 @@
 
   /** Records a response of any kind, which shows that it is reachable. */
   recordResponse(): void {
+    this.responses += 1;
     this.suspectUntil = -Infinity;
     this.consecutiveTimeouts = 0;
   }
--- a/packages/gateway/src/backend_server/backend_client.ts
+++ b/packages/gateway/src/backend_server/backend_client.ts
@@ -55,6 +55,8 @@
   Running: 'running',
   /** Its port is closed, or another server answers there. */
   Ended: 'ended',
+  /** The connection was taken and broke off without an answer. */
+  BreaksOff: 'breaks_off',
   /** No answer: it may also be cut off, or busy. */
   Unknown: 'unknown',
 } as const;
@@ -62,6 +64,11 @@
 /** One of the values of {@link ProcessState}. */
 export type ProcessState = (typeof ProcessState)[keyof typeof ProcessState];
 
+const STATE_BY_CONNECT_ERROR: Readonly<Record<string, ProcessState>> = {
+  ECONNREFUSED: ProcessState.Ended,
+  ECONNRESET: ProcessState.BreaksOff,
+};
+
 /** Receives what a server states of itself, as soon as the head of its answer is in. */
 export type StatementListener = (
   server: SharedServer,
@@ -180,10 +187,9 @@
         return isItself ? ProcessState.Running : ProcessState.Ended;
       }
       case 'not_sent':
-        return result.detail === 'ECONNREFUSED'
-          ? ProcessState.Ended
-          : ProcessState.Unknown;
+        return STATE_BY_CONNECT_ERROR[result.detail] ?? ProcessState.Unknown;
       case 'broken':
+        return ProcessState.BreaksOff;
       case 'late':
       case 'abandoned':
         return ProcessState.Unknown;
--- a/packages/gateway/src/content/content_guard.ts
+++ b/packages/gateway/src/content/content_guard.ts
@@ -149,7 +149,17 @@
       request: id,
       content: run.fingerprint,
     });
-    if (process === ProcessState.Ended) run.recordEnd(Date.now());
+    switch (process) {
+      case ProcessState.Ended:
+      case ProcessState.BreaksOff:
+        run.recordEnd(Date.now());
+        return;
+      case ProcessState.Running:
+      case ProcessState.Unknown:
+        return;
+      default:
+        process satisfies never;
+    }
   }
 }
 
