Read the era of the store, and start over when it is restored from a copy

Cause: a position in a table was a version alone.

Change: a position is an era and a version, and nothing is compared across eras: answers of the store, news between instances, the list of instances. A read in a new era counts whatever its versions are. Followers tell each other of the era, and ask without a wait. Configurations and servers keep being judged by their own versions and sequences; entries of servers that had left are from before that; entries that are missing are kept for the grace time of an outage; rows of contents and of this instance are written again.

--- a/packages/balancer/src/content/crash_record.ts
+++ b/packages/balancer/src/content/crash_record.ts
@@ -58,6 +58,8 @@
   | {readonly kind: 'claimed'; readonly claim: RunClaim; readonly at: number}
   /** A run that was claimed showed nothing. */
   | {readonly kind: 'released'; readonly by: string}
+  /** What an instance knows from a store that has lost it. */
+  | {readonly kind: 'known'; readonly record: CrashRecord}
   /** The record is dropped if its time is over. */
   | {readonly kind: 'aged'; readonly at: number};
 
@@ -97,6 +99,8 @@
       return record?.claim?.by === change.by
         ? {...record, claim: undefined}
         : record;
+    case 'known':
+      return merged(record, change.record);
     case 'aged':
       return record && change.at < expiryOf(record) ? record : undefined;
     default:
@@ -141,6 +145,27 @@
   return isFirstRefusal ? refusedFrom(ended, at) : ended;
 }
 
+/** Returns a record with all that either says; the first if the other adds nothing. */
+function merged(
+  record: CrashRecord | undefined,
+  known: CrashRecord,
+): CrashRecord {
+  // Its claim was given by the store as it was before.
+  if (!record) return {...known, claim: undefined};
+  const addsNothing =
+    known.ends <= record.ends &&
+    known.refusals <= record.refusals &&
+    known.refusedUntil <= record.refusedUntil;
+  if (addsNothing) return record;
+  return {
+    ends: Math.max(record.ends, known.ends),
+    endedAt: Math.max(record.endedAt, known.endedAt),
+    refusedUntil: Math.max(record.refusedUntil, known.refusedUntil),
+    refusals: Math.max(record.refusals, known.refusals),
+    claim: record.claim,
+  };
+}
+
 const NO_ENDS: CrashRecord = {
   ends: 0,
   endedAt: 0,
--- a/packages/balancer/src/content/suspect_contents.test.ts
+++ b/packages/balancer/src/content/suspect_contents.test.ts
@@ -145,3 +145,24 @@
   await woken;
   t.truthy(contents.lockOf(CONTENT).tryTake());
 });
+
+test('what a restored store has lost is written again, and nothing else', t => {
+  const shared = new SharedRows();
+  const contents = newContents('front-0');
+  runOnce(contents, 0);
+  shared.write(contents);
+  const old = [...shared.rows.values()];
+  runOnce(contents, 500);
+  runOnce(contents, 1_000);
+  shared.write(contents);
+  t.false(contents.hasUnwritten);
+  contents.restoreRows(old);
+  t.is(contents.statusOf(CONTENT, 1_000).kind, 'refused');
+  const [change] = contents.rowChanges(10);
+  t.is(change!.expectedVersion, old[0]!.version);
+  t.is(change!.record?.ends, 3);
+  // Another instance was faster.
+  contents.putRow({...change!, record: change!.record, version: 50});
+  contents.restoreRows([{...old[0]!, record: change!.record, version: 50}]);
+  t.is(contents.statusOf(CONTENT, 1_000).kind, 'refused');
+});
--- a/packages/balancer/src/content/suspect_contents.ts
+++ b/packages/balancer/src/content/suspect_contents.ts
@@ -82,13 +82,9 @@
 
   /** Records a change of this instance, which has to be written. */
   record(fingerprint: string, change: ContentChange): void {
-    const changes = this.unwritten.get(fingerprint);
-    if (!changes && this.unwritten.size >= MAX_UNWRITTEN) return;
-    this.unwritten.set(fingerprint, [...(changes ?? []), change]);
-    const row = this.rows.get(fingerprint);
-    const isUnchanged = this.recordOf(fingerprint) === row?.record;
-    if (isUnchanged) this.unwritten.delete(fingerprint);
-    this.locks.get(fingerprint)?.wakeAll();
+    const isNew = !this.unwritten.has(fingerprint);
+    if (isNew && this.unwritten.size >= MAX_UNWRITTEN) return;
+    this.add(fingerprint, change);
   }
 
   /** Replaces all rows by those of the store. */
@@ -98,6 +94,27 @@
     this.locks.forEach(lock => lock.wakeAll());
   }
 
+  /**
+   * Replaces all rows by those of a store that was restored from an older copy.
+   * What they do not say any more has to be written again.
+   */
+  restoreRows(rows: readonly ContentRow[]): void {
+    const before = [...this.rows.values()];
+    this.replaceRows(rows);
+    before.forEach(({fingerprint, record}) => {
+      if (record) this.add(fingerprint, {kind: 'known', record});
+    });
+  }
+
+  private add(fingerprint: string, change: ContentChange): void {
+    const changes = this.unwritten.get(fingerprint) ?? [];
+    this.unwritten.set(fingerprint, [...changes, change]);
+    const row = this.rows.get(fingerprint);
+    const isUnchanged = this.recordOf(fingerprint) === row?.record;
+    if (isUnchanged) this.unwritten.delete(fingerprint);
+    this.locks.get(fingerprint)?.wakeAll();
+  }
+
   /** Applies a row of the store. */
   putRow(row: ContentRow): void {
     const {fingerprint} = row;
--- a/packages/balancer/src/instance/deployment.test.ts
+++ b/packages/balancer/src/instance/deployment.test.ts
@@ -98,3 +98,19 @@
   deployment.putServer(serverEntry({startedAt: 6}), NOW);
   t.is(deployment.serversTakingWork, 1);
 });
+
+test('an entry from before its server left is told from a newer one', t => {
+  const deployment = createDeployment();
+  const left = serverEntry({sequence: 4, startedAt: 1_000});
+  deployment.putServer(left, NOW);
+  t.false(deployment.hasLeft(left));
+  deployment.removeServer(left.id);
+  t.true(deployment.hasLeft(left));
+  t.true(deployment.hasLeft({...left, sequence: 3}));
+  t.true(deployment.hasLeft({...left, startedAt: 900, sequence: 9}));
+  t.false(deployment.hasLeft({...left, sequence: 5}));
+  t.false(deployment.hasLeft({...left, startedAt: 2_000, sequence: 1}));
+  // It is back: nothing of it is outdated any more.
+  deployment.putServer({...left, sequence: 5}, NOW);
+  t.false(deployment.hasLeft(left));
+});
--- a/packages/balancer/src/instance/deployment.ts
+++ b/packages/balancer/src/instance/deployment.ts
@@ -31,6 +31,14 @@
 /** Number of processes that have left and are remembered. */
 const MAX_LEFT = 10_000;
 
+/** A server process as it was when its entry went. */
+interface LeftServer {
+  readonly startedAt: number;
+  readonly sequence: number;
+  /** Whether it stated itself that it leaves. */
+  readonly saidSo: boolean;
+}
+
 /** Result of an update to the deployment. */
 export const UpdateOutcome = {
   Taken: 'taken',
@@ -50,11 +58,8 @@
   private knownListener: (() => void) | undefined;
   private readonly services = new Map<string, SharedService>();
   private readonly servers = new Map<string, SharedServer>();
-  /**
-   * Server processes that announced that they leave and whose entries are gone,
-   * by id: an older row may name them again.
-   */
-  private readonly left = new Map<string, number>();
+  /** Server processes whose entries are gone, by id: an older row may name them again. */
+  private readonly left = new Map<string, LeftServer>();
 
   constructor(private readonly options: DeploymentOptions) {}
 
@@ -159,12 +164,20 @@
     const server = this.servers.get(id);
     if (!server) return false;
     this.servers.delete(id);
-    if (server.backpressure.isLeaving) this.rememberLeft(server.entry);
+    this.rememberLeft(server);
     this.options.limitShares.forget(id);
     this.service(server.entry.service).remove(id);
     return true;
   }
 
+  /** Whether an entry is no newer than the one with which its server left. */
+  hasLeft({id, startedAt, sequence}: ServerEntry): boolean {
+    const left = this.left.get(id);
+    if (!left) return false;
+    if (startedAt !== left.startedAt) return startedAt < left.startedAt;
+    return sequence <= left.sequence;
+  }
+
   /** Records that the registry was read in full. */
   markRegistryRead(): void {
     this.registryKnown = true;
@@ -188,7 +201,8 @@
     const server = new SharedServer(entry, now, perS =>
       limitShares.shareOf(entry.id, perS),
     );
-    if (this.left.get(entry.id) === entry.startedAt)
+    const left = this.left.get(entry.id);
+    if (left?.saidSo && left.startedAt === entry.startedAt)
       server.backpressure.markLeaving();
     else this.left.delete(entry.id);
     this.servers.set(entry.id, server);
@@ -196,10 +210,11 @@
     return UpdateOutcome.Taken;
   }
 
-  private rememberLeft({id, startedAt}: ServerEntry): void {
+  private rememberLeft({entry, backpressure}: SharedServer): void {
+    const {id, startedAt, sequence} = entry;
     // Insertion order: the one that left first is forgotten first.
     this.left.delete(id);
-    this.left.set(id, startedAt);
+    this.left.set(id, {startedAt, sequence, saidSo: backpressure.isLeaving});
     const oldest = this.left.keys().next();
     if (this.left.size > MAX_LEFT && !oldest.done)
       this.left.delete(oldest.value);
--- a/packages/balancer/src/instance/update_sources.test.ts
+++ b/packages/balancer/src/instance/update_sources.test.ts
@@ -98,3 +98,17 @@
   [1, 2, 3, 4].forEach(i => sources.recordFailure(`c-${i}`, START));
   t.deepEqual(selectedIds(sources, START), ['b-1', 'a-1']);
 });
+
+test('instances that a restored store has lost stay known beside those it lists', t => {
+  const [self, added] = [instance('a-0'), instance('a-1')];
+  const sources = new UpdateSources(self);
+  sources.setInstances([self, added]);
+  t.true(sources.lists([self, added]));
+  t.false(sources.lists([added]));
+  const moved = {...self, address: '127.0.0.9:1'};
+  t.false(sources.lists([moved]));
+  sources.addInstances([self]);
+  t.deepEqual(sources.instanceIds, ['a-0', 'a-1']);
+  sources.setInstances([self]);
+  t.deepEqual(sources.instanceIds, ['a-0']);
+});
--- a/packages/balancer/src/instance/update_sources.ts
+++ b/packages/balancer/src/instance/update_sources.ts
@@ -50,15 +50,22 @@
     this.instanceIds = this.instances.map(({id}) => id);
   }
 
+  /** Adds instances to the known ones; an entry replaces that of the same id. */
+  addInstances(instances: readonly InstanceEntry[]): void {
+    const added = new Set(instances.map(({id}) => id));
+    const kept = this.instances.filter(({id}) => !added.has(id));
+    this.setInstances([...kept, ...instances]);
+  }
+
   /** Number of known instances. */
   get size(): number {
     return this.instances.length;
   }
 
-  /** Whether the list names this instance with its address. */
-  get isListed(): boolean {
+  /** Whether a list names this instance with its address. */
+  lists(instances: readonly InstanceEntry[]): boolean {
     const {id, address, failureDomain} = this.self;
-    return this.instances.some(
+    return instances.some(
       entry =>
         entry.id === id &&
         entry.address === address &&
--- a/packages/gateway/src/content/shared_contents.ts
+++ b/packages/gateway/src/content/shared_contents.ts
@@ -116,6 +116,12 @@
     this.onRead();
   }
 
+  /** What is known and was lost with the store is written again. */
+  replaceRestored(rows: readonly DecodedRow<CrashRecord>[]): void {
+    this.contents.restoreRows(rows.flatMap(contentRow));
+    this.writePause.wake();
+  }
+
   update(rows: readonly DecodedRow<CrashRecord>[]): void {
     rows.forEach(row => this.apply(row));
   }
--- a/packages/gateway/src/instance/configuration_sink.ts
+++ b/packages/gateway/src/instance/configuration_sink.ts
@@ -21,6 +21,11 @@
     this.update(rows);
   }
 
+  replaceRestored(rows: readonly DecodedRow<RoutingConfiguration>[]): void {
+    // An older version than the one in force is ignored.
+    this.update(rows);
+  }
+
   update(rows: readonly DecodedRow<RoutingConfiguration>[]): void {
     rows.forEach(row => this.apply(row));
   }
--- a/packages/gateway/src/instance/gateway.ts
+++ b/packages/gateway/src/instance/gateway.ts
@@ -26,6 +26,7 @@
 import type {FleetDirectory} from '../peer/fleet_directory.js';
 import {NewsExchange} from '../peer/news_exchange.js';
 import {TableFollower} from '../platform/table_follower.js';
+import {StoreWatch} from '../platform/store_watch.js';
 import type {WireFormat} from '../platform/wire_format.js';
 import {runRequest} from '../request/request_run.js';
 import {RequestQueues} from '../request/request_queue.js';
@@ -287,7 +288,7 @@
     );
     const context = {
       exchange: this.newsExchange,
-      storeReturned: new Set<() => void>(),
+      storeWatch: new StoreWatch(),
       clock,
       log,
       metrics,
--- a/packages/gateway/src/instance/registry_sink.ts
+++ b/packages/gateway/src/instance/registry_sink.ts
@@ -31,6 +31,18 @@
     this.deployment.markRegistryRead();
   }
 
+  /**
+   * Entries that are missing are expected to return soon. Those of servers that
+   * have left are from before that: what such a server writes later counts.
+   */
+  replaceRestored(rows: readonly DecodedRow<ServerEntry>[], now: number): void {
+    this.lapsed.registryRecovered(now);
+    const current = rows.filter(
+      row => row.kind !== 'value' || !this.hasLeft(row.value),
+    );
+    this.replace(current, now);
+  }
+
   update(rows: readonly DecodedRow<ServerEntry>[], now: number): void {
     rows.forEach(row => this.apply(row, now));
   }
@@ -78,6 +90,15 @@
     }
   }
 
+  private hasLeft(entry: ServerEntry): boolean {
+    const hasLeft = this.deployment.hasLeft(entry);
+    if (hasLeft) {
+      const {id: server, sequence} = entry;
+      this.log.stateChange('server_entry_outdated', {server, sequence});
+    }
+    return hasLeft;
+  }
+
   private entryMissing(id: string, now: number): void {
     if (!this.deployment.server(id)) return;
     if (this.lapsed.retain(id, now)) {
--- a/packages/gateway/src/peer/fleet_directory.ts
+++ b/packages/gateway/src/peer/fleet_directory.ts
@@ -3,6 +3,13 @@
 import type {Result} from 'neverthrow';
 import type {StoreError} from '../platform/row_source.js';
 
+/** Entries of instances, which may include stopped ones. */
+export interface InstanceList {
+  readonly instances: readonly InstanceEntry[];
+  /** Era of the store; see `StorePosition`. */
+  readonly era: number;
+}
+
 /** The list of instances in the platform's store. */
 export interface FleetDirectory {
   /** Writes the entry of this instance. */
@@ -10,8 +17,6 @@
     entry: InstanceEntry,
     signal: AbortSignal,
   ): Promise<Result<void, StoreError>>;
-  /** Reads the entries of all instances, which may include stopped ones. */
-  list(
-    signal: AbortSignal,
-  ): Promise<Result<readonly InstanceEntry[], StoreError>>;
+  /** Reads the entries of all instances. */
+  list(signal: AbortSignal): Promise<Result<InstanceList, StoreError>>;
 }
--- a/packages/gateway/src/peer/news_exchange.ts
+++ b/packages/gateway/src/peer/news_exchange.ts
@@ -19,10 +19,10 @@
   PeerSocket,
 } from '@ragworthall/daemon';
 import type {Result} from 'neverthrow';
-import {pause} from '../instance/pause.js';
+import {pause, WakeablePause} from '../instance/pause.js';
 import type {GatewayLog} from '../log/gateway_log.js';
 import type {StoredRow, StoreError} from '../platform/row_source.js';
-import type {FleetDirectory} from './fleet_directory.js';
+import type {FleetDirectory, InstanceList} from './fleet_directory.js';
 import {MAX_MESSAGE_BYTES, NewsListeners} from './news_listeners.js';
 import {NEWS_CODEC, type NewsMessage} from './news_message.js';
 
@@ -88,6 +88,13 @@
   /** What decides whether this instance polls the store, as a text. */
   private role = '';
   private listeners!: NewsListeners;
+  private readonly listPause = new WakeablePause();
+  /** Whether the store may have lost entries that are not written again yet. */
+  private isStoreRestored = false;
+  /** Era of the store in which the list was read last. */
+  private listEra: number | undefined;
+  /** Whether the list, as it was read last, names this instance. */
+  private isListed = false;
 
   private constructor(private readonly options: NewsExchangeOptions) {
     this.sources = new UpdateSources(options.self);
@@ -153,6 +160,12 @@
     this.roleListeners.add(wake);
   }
 
+  /** Records that the store was restored from an older copy. */
+  storeRestored(): void {
+    this.isStoreRestored = true;
+    this.listPause.wake();
+  }
+
   /** Disconnects the listeners, since this instance stops; they choose other sources. */
   async dropListeners(): Promise<void> {
     await this.listeners[Symbol.asyncDispose]();
@@ -180,14 +193,30 @@
     } else {
       await this.pauseWithJitter(RESTART_DELAY_MS, RESTART_JITTER_MS, signal);
       await this.readInstances(signal);
-      if (!this.sources.isListed) await this.announce(signal);
+      if (!this.isListed) await this.announce(signal);
     }
     while (!signal.aborted) {
-      await pause(LIST_INTERVAL_MS * (0.5 + this.randomFraction()), signal);
-      await this.readInstances(signal);
+      if (this.isStoreRestored) {
+        await this.announceAgain(signal);
+        continue;
+      }
+      const intervalMs = LIST_INTERVAL_MS * (0.5 + this.randomFraction());
+      await this.listPause.wait(intervalMs, signal);
+      if (!this.isStoreRestored) await this.readInstances(signal);
     }
   }
 
+  /** Announces this instance again if the store has lost its entry. */
+  private async announceAgain(signal: AbortSignal): Promise<void> {
+    await this.pauseWithJitter(RESTART_DELAY_MS, RESTART_JITTER_MS, signal);
+    await this.readInstances(signal);
+    this.isStoreRestored = false;
+    if (!this.isListed) await this.announce(signal);
+    // By then the others have done so too.
+    await this.pauseWithJitter(STARTUP_DELAY_MS, STARTUP_JITTER_MS, signal);
+    await this.readInstances(signal);
+  }
+
   private announce(signal: AbortSignal): Promise<void> {
     const {fleet, self} = this.options;
     return this.retryStoreCall('announce', signal, () =>
@@ -199,7 +228,7 @@
     const before = this.instanceCount;
     await this.retryStoreCall('list', signal, async () => {
       const listed = await this.options.fleet.list(signal);
-      return listed.map(instances => this.sources.setInstances(instances));
+      return listed.map(list => this.takeList(list));
     });
     const after = this.instanceCount;
     if (after !== before) {
@@ -208,6 +237,18 @@
     this.chooseSources();
   }
 
+  private takeList({instances, era}: InstanceList): void {
+    if (this.listEra !== undefined && era !== this.listEra) {
+      this.storeRestored();
+    }
+    this.listEra = era;
+    this.isListed = this.sources.lists(instances);
+    // Instances that the store has lost are still there: their shares of common
+    // bounds are theirs.
+    if (this.isStoreRestored) this.sources.addInstances(instances);
+    else this.sources.setInstances(instances);
+  }
+
   private async pauseWithJitter(
     ms: number,
     jitterMs: number,
--- a/packages/gateway/src/peer/news_listeners.ts
+++ b/packages/gateway/src/peer/news_listeners.ts
@@ -82,7 +82,8 @@
 /** Returns the update without its rows. */
 function withoutRows(update: TableUpdate<StoredRow>): TableUpdate<StoredRow> {
   if (update.kind !== 'rows') return update;
-  return {kind: 'changed', version: update.version};
+  const {era, version} = update;
+  return {kind: 'changed', era, version};
 }
 
 function exceedsRelayLimit(update: TableUpdate<StoredRow>): boolean {
--- a/packages/gateway/src/peer/news_message.ts
+++ b/packages/gateway/src/peer/news_message.ts
@@ -3,6 +3,8 @@
 import * as z from 'zod';
 
 const version = z.int();
+/** Instances that know of no eras leave it out. */
+const era = z.int().min(0).default(0);
 
 const row = z.object({
   key: z.string(),
@@ -14,12 +16,13 @@
 const news = z.discriminatedUnion('kind', [
   z.object({
     kind: z.literal('rows'),
+    era,
     from: version,
     version,
     rows: z.array(row).readonly(),
   }),
-  z.object({kind: z.literal('unchanged'), from: version, version}),
-  z.object({kind: z.literal('changed'), version}),
+  z.object({kind: z.literal('unchanged'), era, from: version, version}),
+  z.object({kind: z.literal('changed'), era, version}),
   z.object({kind: z.literal('no_answer')}),
   z.object({kind: z.literal('regained')}),
 ]);
--- a/packages/gateway/src/platform/row_source.ts
+++ b/packages/gateway/src/platform/row_source.ts
@@ -1,4 +1,5 @@
 /** Access to one table of the platform's store. */
+import type {StorePosition} from '@ragworthall/balancer';
 import type {Result} from 'neverthrow';
 
 /** A row as it is stored. */
@@ -29,9 +30,8 @@
     };
 
 /** Rows as of one version of the store. */
-export interface Snapshot {
+export interface Snapshot extends StorePosition {
   readonly rows: readonly StoredRow[];
-  readonly version: number;
 }
 
 /** The changes since a version of the store. */
--- a/packages/gateway/src/platform/table_follower.ts
+++ b/packages/gateway/src/platform/table_follower.ts
@@ -1,14 +1,17 @@
 /** Keeps this instance up to date with one table of the platform's store. */
 import {
   type Clock,
-  UpdateAction,
+  ReadVerdict,
+  type StorePosition,
   type TableUpdate,
   TablePosition,
+  UpdateAction,
 } from '@ragworthall/balancer';
 import {pause, WakeablePause} from '../instance/pause.js';
 import type {GatewayLog} from '../log/gateway_log.js';
 import type {GatewayMetrics} from '../metrics/gateway_metrics.js';
 import type {NewsExchange} from '../peer/news_exchange.js';
+import type {StoreWatch} from './store_watch.js';
 import type {
   DecodedRow,
   RowSource,
@@ -48,6 +51,12 @@
 export interface RowSink<T> {
   /** Replaces all rows of the table; rows that are not given no longer exist. */
   replace(rows: readonly DecodedRow<T>[], now: number): void;
+  /**
+   * Replaces all rows by those of a store that was restored from an older copy:
+   * some are older than what is known, and some are missing until they are
+   * written again.
+   */
+  replaceRestored(rows: readonly DecodedRow<T>[], now: number): void;
   /** Applies changed rows. */
   update(rows: readonly DecodedRow<T>[], now: number): void;
   /** Called when the store does not answer, or refuses. */
@@ -59,8 +68,7 @@
 /** Dependencies of a follower. */
 export interface FollowerContext {
   readonly exchange: NewsExchange;
-  /** Wakes the followers of other tables that wait for the store to return. */
-  readonly storeReturned: Set<() => void>;
+  readonly storeWatch: StoreWatch;
   readonly clock: Clock;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
@@ -90,7 +98,8 @@
       this.applyPeerUpdate(update, givesRows),
     );
     context.exchange.onRoleChange(() => this.pollPause.wake());
-    context.storeReturned.add(() => this.pollPause.wake());
+    context.storeWatch.onReturn(() => this.pollPause.wake());
+    context.storeWatch.onRestored(era => this.eraChanged(era));
   }
 
   /** Runs until the signal is aborted. */
@@ -113,21 +122,41 @@
   }
 
   private async readAll(signal: AbortSignal): Promise<boolean> {
+    const startedAt = this.position.current;
     const read = await this.source.read(signal);
     if (read.isErr()) {
       await this.storeFailed(read.error, signal);
       return false;
     }
     this.storeAnswered();
-    const {rows, version} = read.value;
+    const {rows, era, version} = read.value;
     const now = this.context.clock.now();
-    if (this.position.recordRead(version, now)) {
-      this.sink.replace(this.decode(rows), now);
+    this.context.storeWatch.recordEra(era);
+    const outcome = this.position.recordRead({era, version}, startedAt, now);
+    switch (outcome) {
+      case ReadVerdict.Overtaken:
+        // A stale read is not repeated at once.
+        await pause(this.timing.minRetryMs, signal);
+        return true;
+      case ReadVerdict.Restored:
+        this.context.log.dependency('store_restored', {
+          table: this.table,
+          era,
+          version,
+          known: startedAt,
+        });
+        this.context.exchange.storeRestored();
+        this.sink.replaceRestored(this.decode(rows), now);
+        return true;
+      case ReadVerdict.Newest:
+        this.sink.replace(this.decode(rows), now);
+        return true;
+      default:
+        return outcome satisfies never;
     }
-    return true;
   }
 
-  /** Reads changes until the store no longer has them. */
+  /** Reads changes until the store no longer has them, or was restored. */
   private async follow(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const delayMs = this.pollDelayMs();
@@ -135,13 +164,13 @@
         await this.pollPause.wait(delayMs, signal);
         continue;
       }
-      const from = this.position.version;
+      const from = this.position.current;
       this.interrupt = new AbortController();
       const awaiting = this.awaitingCall.splice(0);
       const settle = () => awaiting.forEach(resolve => resolve());
       const longPollMs = awaiting.length > 0 ? 0 : this.currentLongPollMs;
       const read = await this.source.changes(
-        from,
+        from.version,
         longPollMs,
         AbortSignal.any([signal, this.interrupt.signal]),
       );
@@ -158,11 +187,14 @@
           settle();
           this.context.log.stateChange('history_lost', {
             table: this.table,
-            version: from,
+            version: from.version,
           });
           return;
         case 'changes':
-          this.applyRead(from, changes);
+          if (!this.applyChanges(from, changes)) {
+            settle();
+            return;
+          }
           settle();
           if (changes.rows.length > 0) await pause(this.timing.batchMs, signal);
           break;
@@ -172,6 +204,13 @@
     }
   }
 
+  /** Ends a wait for changes of the era before. */
+  private eraChanged(era: number): void {
+    if (!this.position.recordEra(era, this.context.clock.now())) return;
+    this.interrupt.abort();
+    this.pollPause.wake();
+  }
+
   /** Time for which this instance relies on updates from other instances, milliseconds. */
   private pollDelayMs(): number {
     const {exchange, clock} = this.context;
@@ -182,26 +221,37 @@
 
   /** Longest time that the store may delay the answer to the next call, milliseconds. */
   private get currentLongPollMs(): number {
-    // After a failure, an immediate answer shows that the store is back.
-    if (this.failures > 0) return 0;
+    // After a failure, an immediate answer shows that the store is back. One in
+    // another era need not have changes after the known version.
+    if (this.failures > 0 || this.position.isBehind) return 0;
     const {exchange} = this.context;
     return exchange.hasListeners
       ? this.timing.relayLongPollMs
       : this.timing.longPollMs;
   }
 
-  /** Applies changes that this instance read and publishes them to its listeners. */
-  private applyRead(from: number, {rows, version}: Snapshot): void {
-    const {exchange, clock} = this.context;
-    const known = this.position.version;
+  /**
+   * Applies changes that this instance read and publishes them to its listeners;
+   * returns false if the table has to be read, since the store was restored.
+   */
+  private applyChanges(
+    from: StorePosition,
+    {rows, era, version}: Snapshot,
+  ): boolean {
+    const {exchange, clock, storeWatch} = this.context;
+    const known = this.position.current.version;
     const now = clock.now();
-    if (this.position.recordRead(version, now))
-      this.updateSink(rows, known, now);
+    storeWatch.recordEra(era);
+    const outcome = this.position.recordChanges({era, version}, from, now);
+    if (outcome === ReadVerdict.Restored) return false;
+    if (outcome === ReadVerdict.Newest) this.updateSink(rows, known, now);
+    const span = {era, from: from.version, version};
     const update: TableUpdate<StoredRow> =
       rows.length > 0
-        ? {kind: 'rows', from, version, rows}
-        : {kind: 'unchanged', from, version};
+        ? {kind: 'rows', ...span, rows}
+        : {kind: 'unchanged', ...span};
     exchange.publish(this.table, update);
+    return true;
   }
 
   /**
@@ -214,7 +264,7 @@
   ): boolean {
     const {clock, metrics} = this.context;
     const now = clock.now();
-    const known = this.position.version;
+    const known = this.position.current.version;
     metrics.newsReceived(this.table, update.kind);
     this.sourcesLostStore = update.kind === 'no_answer';
     if (update.kind === 'regained') this.sink.storeRegained(now);
@@ -267,7 +317,7 @@
     this.failures = 0;
     this.context.log.dependency('store_regained', {table: this.table});
     this.sink.storeRegained(now);
-    this.context.storeReturned.forEach(wake => wake());
+    this.context.storeWatch.recordReturn();
   }
 
   private async storeFailed(
