Set odd entries of servers aside before anything acts on them

It could happen here: an entry with port 99999, or with a number over 255 in its address, passed the parser, and undici threw in the probe's task. Only the handler for the whole process caught the rejection, and the probe counted as running for good.

A connection to an address that cannot be opened fails its exchange, and an unexpected error in a probe is logged and ends that probe alone.

--- a/packages/gateway/src/backend_server/backend_connection.test.ts
+++ b/packages/gateway/src/backend_server/backend_connection.test.ts
@@ -80,3 +80,18 @@
   await closed;
   server.close();
 });
+
+test('an address that no connection can be opened to fails the exchange, not its task', async t => {
+  const addresses = ['10.0.0.1:99999', '10.0.0.256:80', '10.0.0.1:0', 'x', ''];
+  for (const address of addresses) {
+    const memory = new AnswerMemory({answerBytes: 1_000, totalBytes: 1_000});
+    using connection = new BackendConnection(address, memory, 1_000);
+    const request = {method: 'GET', target: '/', headers: [], body: EMPTY};
+    const result = await connection.exchange(
+      () => request,
+      1_000,
+      new AbortController().signal,
+    );
+    t.is(result.kind, 'not_sent', address);
+  }
+});
--- a/packages/gateway/src/backend_server/backend_connection.ts
+++ b/packages/gateway/src/backend_server/backend_connection.ts
@@ -1,5 +1,5 @@
 /** A connection to a backend server that carries one request at a time. */
-import {connect, type Socket} from 'node:net';
+import {connect, isIPv4, type Socket} from 'node:net';
 import {Client, type Dispatcher} from 'undici';
 import type {AnswerMemory} from './answer_memory.js';
 import {Exchange, type ExchangeResult, type HeadListener} from './exchange.js';
@@ -25,7 +25,8 @@
 export class BackendConnection implements Disposable {
   /** Time of the last complete answer on the monotonic clock, milliseconds. */
   lastAnswerAt = -Infinity;
-  private readonly client: Client;
+  /** Made when the connection is open: until then the address may be invalid. */
+  private client: Client | undefined;
   private socket: Socket | undefined;
   private broken = false;
   /** Whether undici has the socket. */
@@ -38,21 +39,7 @@
     private readonly address: string,
     private readonly memory: AnswerMemory,
     private readonly openTimeoutMs: number,
-  ) {
-    this.client = new Client(`http://${address}`, {
-      pipelining: 1,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      keepAliveTimeout: IDLE_TIMEOUT_MS,
-      keepAliveMaxTimeout: IDLE_TIMEOUT_MS,
-      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
-      // Not synchronously: undici would not send a request that waits for it.
-      connect: (unusedOptions, done) =>
-        queueMicrotask(() => this.takeSocket(done)),
-    });
-    // Exchanges get the error themselves; without a listener the event would throw.
-    this.client.on('connectionError', () => undefined);
-  }
+  ) {}
 
   /** Whether an error has ended the connection. */
   get isBroken(): boolean {
@@ -95,6 +82,7 @@
       headers: [...request.headers],
       body: request.body.byteLength > 0 ? request.body : null,
     };
+    this.client ??= this.newClient();
     this.client.dispatch(options, exchange);
     const result = await exchange.ended;
     this.current = undefined;
@@ -105,7 +93,24 @@
   [Symbol.dispose](): void {
     if (!this.taken) this.socket?.destroy();
     // Not awaited: all exchanges on the connection have ended.
-    void this.client.destroy().catch(() => undefined);
+    void this.client?.destroy().catch(() => undefined);
+  }
+
+  private newClient(): Client {
+    const client = new Client(`http://${this.address}`, {
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: IDLE_TIMEOUT_MS,
+      keepAliveMaxTimeout: IDLE_TIMEOUT_MS,
+      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+      // Not synchronously: undici would not send a request that waits for it.
+      connect: (unusedOptions, done) =>
+        queueMicrotask(() => this.takeSocket(done)),
+    });
+    // Exchanges get the error themselves; without a listener the event would throw.
+    client.on('connectionError', () => undefined);
+    return client;
   }
 
   /** Opens the socket; resolves with what failed, if anything. */
@@ -113,7 +118,10 @@
     const colon = this.address.lastIndexOf(':');
     const host = this.address.slice(0, colon);
     const port = Number(this.address.slice(colon + 1));
-    if (!(port <= MAX_PORT)) return Promise.resolve(`port ${port} is invalid`);
+    const isPort = port >= 1 && port <= MAX_PORT;
+    if (!isIPv4(host) || !isPort) {
+      return Promise.resolve(`address ${this.address} is invalid`);
+    }
     const socket = connect({host, port, noDelay: true});
     this.socket = socket;
     this.broken = false;
--- a/packages/gateway/src/backend_server/prober.ts
+++ b/packages/gateway/src/backend_server/prober.ts
@@ -30,8 +30,9 @@
   ) {}
 
   /**
-   * Probes a server; resolves when its state has been updated. Returns undefined
-   * if the rate limit of probes is reached or the server wants none.
+   * Probes a server; resolves when its state has been updated. Never rejects.
+   * Returns undefined if the rate limit of probes is reached or the server wants
+   * none.
    */
   probe(
     service: SharedService,
@@ -42,9 +43,13 @@
     if (running) return running;
     if (server.backpressure.wantsNothing(this.clock.now())) return undefined;
     if (!this.rateLimiter.tryTake(this.clock.now())) return undefined;
-    const probe = this.runProbe(service, server).finally(() =>
-      this.running.delete(id),
-    );
+    const probe = this.runProbe(service, server)
+      .catch((err: unknown) => {
+        server.endLoadQuery();
+        server.recordNoResponse(this.clock.now());
+        this.log.taskFailed('probe', err);
+      })
+      .finally(() => this.running.delete(id));
     this.running.set(id, probe);
     return probe;
   }
@@ -66,13 +71,9 @@
       server.recordNoResponse(this.clock.now());
       this.reach.recordFailure(server);
     }, SUSPECT_AFTER_MS);
-    const answer = await this.backendClient.probe(
-      server,
-      path,
-      PROBE_TIMEOUT_MS,
-      NEVER_ABORTED,
-    );
-    clearTimeout(suspectTimer);
+    const answer = await this.backendClient
+      .probe(server, path, PROBE_TIMEOUT_MS, NEVER_ABORTED)
+      .finally(() => clearTimeout(suspectTimer));
     server.endLoadQuery();
     const now = this.clock.now();
     switch (answer.kind) {
