Use a server again whose entry stays in a restored store

The entries of servers that had left were ignored in a restored store unless a newer one came. A server whose entry had only lapsed, and which renews it without a change, would have stayed unused for good: its row does not change.

Such entries are held back for 6 s, in which the registry drops those that no server renews, and are used then. Entries that are older than the one with which a server left are stale at any time, as those of known servers are.

Found by reading.

--- a/packages/balancer/src/instance/deployment.test.ts
+++ b/packages/balancer/src/instance/deployment.test.ts
@@ -110,6 +110,9 @@
   t.true(deployment.hasLeft({...left, startedAt: 900, sequence: 9}));
   t.false(deployment.hasLeft({...left, sequence: 5}));
   t.false(deployment.hasLeft({...left, startedAt: 2_000, sequence: 1}));
+  const older = {...left, sequence: 3};
+  t.is(deployment.putServer(older, NOW), UpdateOutcome.Stale);
+  t.is(deployment.serversTakingWork, 0);
   // It is back: nothing of it is outdated any more.
   deployment.putServer({...left, sequence: 5}, NOW);
   t.false(deployment.hasLeft(left));
--- a/packages/balancer/src/instance/deployment.ts
+++ b/packages/balancer/src/instance/deployment.ts
@@ -145,7 +145,11 @@
   /** Applies a registry entry; a restarted or moved server is added anew. */
   putServer(entry: ServerEntry, now: number): UpdateOutcome {
     const known = this.servers.get(entry.id);
-    if (!known) return this.addServer(entry, now);
+    if (!known) {
+      return this.leftAfter(entry)
+        ? UpdateOutcome.Stale
+        : this.addServer(entry, now);
+    }
     if (!isAtLeastAsRecent(entry, known.entry)) return UpdateOutcome.Stale;
     const sameProcess =
       entry.startedAt === known.entry.startedAt &&
@@ -171,11 +175,12 @@
   }
 
   /** Whether an entry is no newer than the one with which its server left. */
-  hasLeft({id, startedAt, sequence}: ServerEntry): boolean {
-    const left = this.left.get(id);
-    if (!left) return false;
-    if (startedAt !== left.startedAt) return startedAt < left.startedAt;
-    return sequence <= left.sequence;
+  hasLeft(entry: ServerEntry): boolean {
+    const left = this.left.get(entry.id);
+    return (
+      this.leftAfter(entry) ||
+      (left?.startedAt === entry.startedAt && left.sequence === entry.sequence)
+    );
   }
 
   /** Records that the registry was read in full. */
@@ -196,6 +201,14 @@
     this.knownListener = undefined;
   }
 
+  /** Whether an entry is older than the one with which its server left. */
+  private leftAfter({id, startedAt, sequence}: ServerEntry): boolean {
+    const left = this.left.get(id);
+    if (!left) return false;
+    if (startedAt !== left.startedAt) return startedAt < left.startedAt;
+    return sequence < left.sequence;
+  }
+
   private addServer(entry: ServerEntry, now: number): UpdateOutcome {
     const {limitShares} = this.options;
     const server = new SharedServer(entry, now, perS =>
--- a/packages/gateway/src/instance/registry_sink.ts
+++ b/packages/gateway/src/instance/registry_sink.ts
@@ -10,10 +10,19 @@
 import type {DecodedRow} from '../platform/row_source.js';
 import type {RowSink} from '../platform/table_follower.js';
 
+/**
+ * Time within which the registry drops an entry that its server does not renew,
+ * milliseconds: three intervals of heartbeats, and a margin.
+ */
+const HOLD_BACK_MS = 6_000;
+
 /** Applies the registry; servers whose entries lapsed in an outage are kept for a while. */
 export class RegistrySink implements RowSink<ServerEntry>, Disposable {
   private readonly lapsed = new LapsedServers();
   private timer: NodeJS.Timeout | undefined;
+  /** Rows of a restored store that name servers that had left, by key. */
+  private readonly heldBack = new Map<string, DecodedRow<ServerEntry>>();
+  private heldBackTimer: NodeJS.Timeout | undefined;
 
   constructor(
     private readonly deployment: Deployment,
@@ -33,14 +42,28 @@
 
   /**
    * Entries that are missing are expected to return soon. Those of servers that
-   * have left are from before that: what such a server writes later counts.
+   * have left are from before that; one that stays is renewed by its server.
    */
   replaceRestored(rows: readonly DecodedRow<ServerEntry>[], now: number): void {
     this.lapsed.registryRecovered(now);
-    const current = rows.filter(
-      row => row.kind !== 'value' || !this.hasLeft(row.value),
+    const outdated = rows.filter(
+      row => row.kind === 'value' && this.deployment.hasLeft(row.value),
+    );
+    this.replace(
+      rows.filter(row => !outdated.includes(row)),
+      now,
     );
-    this.replace(current, now);
+    outdated.forEach(row => this.heldBack.set(row.key, row));
+    clearTimeout(this.heldBackTimer);
+    if (outdated.length === 0) return;
+    this.log.stateChange('server_entries_held_back', {
+      servers: outdated.map(({key}) => key),
+    });
+    this.heldBackTimer = setTimeout(() => {
+      const staying = [...this.heldBack.values()];
+      this.heldBack.clear();
+      this.update(staying, this.clock.now());
+    }, HOLD_BACK_MS);
   }
 
   update(rows: readonly DecodedRow<ServerEntry>[], now: number): void {
@@ -57,9 +80,11 @@
 
   [Symbol.dispose](): void {
     clearTimeout(this.timer);
+    clearTimeout(this.heldBackTimer);
   }
 
   private apply(row: DecodedRow<ServerEntry>, now: number): void {
+    this.heldBack.delete(row.key);
     switch (row.kind) {
       case 'value': {
         const {value} = row;
@@ -90,15 +115,6 @@
     }
   }
 
-  private hasLeft(entry: ServerEntry): boolean {
-    const hasLeft = this.deployment.hasLeft(entry);
-    if (hasLeft) {
-      const {id: server, sequence} = entry;
-      this.log.stateChange('server_entry_outdated', {server, sequence});
-    }
-    return hasLeft;
-  }
-
   private entryMissing(id: string, now: number): void {
     if (!this.deployment.server(id)) return;
     if (this.lapsed.retain(id, now)) {
