Examine a server to its end before the next send of the same content

Traced to the wait of 150 ms for the examination: where it took longer, the request was sent again as if nothing had ended, and the second end did not count.

A caller whose request is over gets its answer at once; the next request with its content waits instead (ContentRun.holdFor). The examiner's attempts are 40 and 80 ms apart.

--- a/packages/gateway/src/content/content_guard.ts
+++ b/packages/gateway/src/content/content_guard.ts
@@ -6,7 +6,6 @@
 import {ProcessState} from '../backend_server/backend_client.js';
 import type {SendResult} from '../backend_server/send_result.js';
 import type {GatewayLog} from '../log/gateway_log.js';
-import {orTimeout} from '../request/promise_race.js';
 import {type Content, contentFingerprint} from './content_fingerprint.js';
 import {ContentRun} from './content_run.js';
 import type {ProcessExaminer} from './process_examiner.js';
@@ -16,8 +15,6 @@
 const CLAIM_WAIT_MS = 100;
 /** Time for which a claim outlasts the deadline of its request, milliseconds. */
 const CLAIM_MARGIN_MS = 500;
-/** Time for which a server is examined before the next send, milliseconds. */
-const MAX_EXAMINE_WAIT_MS = 150;
 /** Time after which a caller may return if the store takes no claim, milliseconds. */
 const NO_CLAIM_RETRY_MS = 1_000;
 
@@ -103,8 +100,8 @@
   }
 
   /**
-   * Learns from a send whether servers end under the content. Resolves when that
-   * is known, as far as the request may be sent again. Never rejects.
+   * Learns from a send whether servers end under the content; resolves when that
+   * is known. Never rejects.
    */
   async recordSend(
     run: ContentRun,
@@ -117,16 +114,10 @@
         run.recordAnswer();
         return;
       case 'lost':
-        if (result.brokeOff) {
-          await orTimeout(
-            this.examine(run, request, server),
-            MAX_EXAMINE_WAIT_MS,
-          );
-        }
-        return;
+        if (!result.brokeOff) return;
+        return run.holdFor(this.examine(run, request, server));
       case 'late':
-        void this.examine(run, request, server);
-        return;
+        return run.holdFor(this.examine(run, request, server));
       case 'not_run':
       case 'not_sent':
       case 'abandoned':
--- a/packages/gateway/src/content/content_run.ts
+++ b/packages/gateway/src/content/content_run.ts
@@ -6,6 +6,8 @@
 export class ContentRun implements Disposable {
   private isDecided = false;
   private knownFingerprint: string | undefined;
+  /** Examinations of servers, after which the next one may run. */
+  private readonly examinations = new Set<Promise<void>>();
 
   /**
    * @param knownEnds Number of ends that were known when it began.
@@ -44,9 +46,18 @@
     this.contents.record(this.fingerprint, {kind: 'ended', knownEnds, at});
   }
 
+  /** Keeps others with this content from running until the examination ends. */
+  holdFor(examination: Promise<void>): Promise<void> {
+    this.examinations.add(examination);
+    return examination;
+  }
+
   [Symbol.dispose](): void {
-    if (!this.lock) return;
-    if (!this.isDecided) this.contents.release(this.fingerprint);
-    this.lock[Symbol.dispose]();
+    const {lock} = this;
+    if (!lock) return;
+    void Promise.allSettled(this.examinations).then(() => {
+      if (!this.isDecided) this.contents.release(this.fingerprint);
+      lock[Symbol.dispose]();
+    });
   }
 }
--- a/packages/gateway/src/content/process_examiner.ts
+++ b/packages/gateway/src/content/process_examiner.ts
@@ -15,7 +15,7 @@
  * Pauses before the attempts to reach a process, milliseconds. A server that is
  * short of connections resets new ones, so one alone is no evidence.
  */
-const ATTEMPT_PAUSES_MS = [0, 50, 150] as const;
+const ATTEMPT_PAUSES_MS = [0, 40, 80] as const;
 
 /** Examines servers; simultaneous examinations of one process are merged. */
 export class ProcessExaminer {
--- a/packages/gateway/src/request/request_run.ts
+++ b/packages/gateway/src/request/request_run.ts
@@ -320,7 +320,12 @@
         ms: Math.round(now - startedAt),
       });
     }
-    await context.contentGuard.recordSend(contentRun, request, server, result);
+    const learned = context.contentGuard.recordSend(
+      contentRun,
+      request,
+      server,
+      result,
+    );
     recordSend(context, server, result, {
       now,
       tookMs: now - startedAt,
@@ -329,7 +334,10 @@
     if (result.kind === 'answered' && result.answer.status < SERVER_ERROR) {
       service.recordDuration(route.name, now - startedAt, cost);
     }
-    return this.resultToEnd(result);
+    const end = this.resultToEnd(result);
+    // The next send of a content that ended this server would end another one.
+    if (!end) await learned;
+    return end;
   }
 
   /** Returns how the request ends with this result; undefined if it may be sent again. */
