Forget entries that were held back once the registry is read again

A read of the whole table within the 6 s after a restore left entries held back that it no longer had, and these were used at the end. Found by reading; no test of its own.

--- a/packages/gateway/src/instance/registry_sink.ts
+++ b/packages/gateway/src/instance/registry_sink.ts
@@ -33,6 +33,7 @@
 
   replace(rows: readonly DecodedRow<ServerEntry>[], now: number): void {
     const listed = new Set(rows.map(row => row.key));
+    this.heldBack.clear();
     this.update(rows, now);
     this.deployment.serverIds
       .filter(id => !listed.has(id))
