Play restored stores and content that ends its servers in the soak

New faults: the store returns from a copy that is five seconds old, after which operators and servers write theirs again; and callers send one content to one instance after the other, under which servers end and return under a new id. A new guarantee, fatal_content_ends, is judged from outside: at most three servers end later than three seconds after the third, under requests of instances that were undisturbed.

--- a/bench/src/gateway/gateway_caller.ts
+++ b/bench/src/gateway/gateway_caller.ts
@@ -45,8 +45,12 @@
 
   constructor(private readonly name: string) {}
 
-  /** Sends one request and records how it ended. */
-  async send(url: string, work: GatewayRequestKind): Promise<Observation> {
+  /** Sends one request and records how it ended; each has a target of its own. */
+  async send(
+    url: string,
+    work: GatewayRequestKind,
+    target?: string,
+  ): Promise<Observation> {
     const id = `${this.name}-${this.observations.length}`;
     const sentAt = performance.now();
     const pending: Observation = {
@@ -61,7 +65,8 @@
     };
     // Pushed before the answer arrives: the array's length makes the ids unique.
     const index = this.observations.push(pending) - 1;
-    const ending = await this.exchange(url, work, id);
+    const path = target ?? `${work.path}/${id}`;
+    const ending = await this.exchange(url, work.method, path, id);
     const endedAt = performance.now();
     const copies = [{key: id, url, sentAt, endedAt, ending}];
     const ended = {...pending, endedAt, copies, ending};
@@ -75,7 +80,8 @@
 
   private async exchange(
     url: string,
-    {method, path}: GatewayRequestKind,
+    method: GatewayRequestKind['method'],
+    path: string,
     id: string,
   ): Promise<Ending> {
     const signal = AbortSignal.timeout(GIVE_UP_MS);
@@ -83,7 +89,7 @@
     const request = {
       id,
       method,
-      path: `${path}/${id}`,
+      path,
       body,
       timeoutMs: STATED_TIMEOUT_MS,
     };
--- a/bench/src/gateway/gateway_cluster.ts
+++ b/bench/src/gateway/gateway_cluster.ts
@@ -5,7 +5,10 @@
 import {configuration} from '@ragworthall/platform/dist/testing/entry_test_environment.js';
 import {InstanceProcess} from '@ragworthall/platform/dist/testing/instance_process.js';
 import {LoopbackProxy} from '@ragworthall/platform/dist/testing/loopback_proxy.js';
-import {StoreStandIn} from '@ragworthall/platform/dist/testing/store_standin.js';
+import {
+  type StoreCopy,
+  StoreStandIn,
+} from '@ragworthall/platform/dist/testing/store_standin.js';
 import {BackendServerStandIn} from '@ragworthall/platform/dist/testing/backend_server_standin.js';
 
 const SERVICE = 's';
@@ -20,6 +23,11 @@
  */
 const ENTRY_REMOVAL_DELAY_MS = 3_500;
 
+/** Time from the end of a server to the start of the one in its place, milliseconds. */
+const RESTART_DELAY_MS = 1_500;
+/** Target of the requests under which servers end. */
+export const FATAL_TARGET = '/read/fatal';
+
 /** One gateway instance and the proxy between it and the store. */
 export interface ClusterInstance {
   readonly process: InstanceProcess;
@@ -32,13 +40,26 @@
   readonly link: LoopbackProxy;
   /** When it began to drain, on the callers' clock; undefined before. */
   leavingSince?: number;
+  /** Whether its process has ended, so that its entry lapses. */
+  hasEnded?: boolean;
+}
+
+/** The end of a server under a content. */
+export interface FatalEnd {
+  /** Id of the request that the server ran. */
+  readonly request: string;
+  /** On the callers' clock, milliseconds. */
+  readonly at: number;
 }
 
 /** The store, the gateway instances and the backend servers of one run. */
 export class GatewayCluster implements AsyncDisposable {
   readonly servers: ClusterServer[] = [];
+  readonly fatalEnds: FatalEnd[] = [];
   version = 1;
   private readonly timers = new Set<NodeJS.Timeout>();
+  /** Servers that are being started in the place of others. */
+  private readonly starting = new Set<Promise<void>>();
 
   private constructor(
     readonly store: StoreStandIn,
@@ -55,7 +76,6 @@
     network: string,
   ): Promise<GatewayCluster> {
     const store = await StoreStandIn.start();
-    store.put('op', 'config', configuration(1, undefined, ANSWER_TARGET_S));
     const instances = await Promise.all(
       Array.from({length: sizes.instances}, async (unused, i) => {
         const storeLink = await LoopbackProxy.start(store.address);
@@ -69,6 +89,7 @@
       }),
     );
     const cluster = new GatewayCluster(store, instances);
+    cluster.putConfiguration();
     for (let i = 0; i < sizes.servers; i++) await cluster.addServer();
     const ready = await Promise.all(
       instances.map(({process}) => process.waitUntilReady(START_TIMEOUT_MS)),
@@ -83,34 +104,43 @@
       `i-${this.servers.length}`,
     );
     const link = await LoopbackProxy.start(standIn.address);
-    this.servers.push({standIn, link});
-    this.putServerEntry({standIn, link}, 'ready');
+    const server: ClusterServer = {standIn, link};
+    const onEnd = (request: string) => {
+      this.fatalEnds.push({request, at: performance.now()});
+      server.hasEnded = true;
+      this.later(RESTART_DELAY_MS, () => this.replaceEnded(server));
+    };
+    standIn.endsUnder = {target: FATAL_TARGET, onEnd};
+    this.servers.push(server);
+    this.putServerEntry(server);
+  }
+
+  /** Returns the store to a copy; operators and servers write theirs again. */
+  restoreStore(copy: StoreCopy): void {
+    this.store.restore(copy);
+    this.putConfiguration();
+    this.servers.forEach(server => this.putServerEntry(server));
   }
 
   /** Marks a server as draining and removes its entry after a delay. */
   drainServer(server: ClusterServer): void {
     server.leavingSince = performance.now();
-    this.putServerEntry(server, 'draining');
-    const timer = setTimeout(() => {
-      this.timers.delete(timer);
-      this.store.remove('servers', server.standIn.id);
-    }, ENTRY_REMOVAL_DELAY_MS);
-    this.timers.add(timer);
+    this.putServerEntry(server);
+    this.later(ENTRY_REMOVAL_DELAY_MS, () =>
+      this.store.remove('servers', server.standIn.id),
+    );
   }
 
   /** Writes the next version of the configuration and returns that version. */
   putNextConfiguration(): number {
     this.version += 1;
-    this.store.put(
-      'op',
-      'config',
-      configuration(this.version, undefined, ANSWER_TARGET_S),
-    );
+    this.putConfiguration();
     return this.version;
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.timers.forEach(clearTimeout);
+    await Promise.all(this.starting);
     await Promise.all([
       ...this.instances.map(({process}) => process[Symbol.asyncDispose]()),
     ]);
@@ -127,9 +157,42 @@
     return this.servers.map(({link}) => link);
   }
 
-  private putServerEntry({standIn, link}: ClusterServer, state: string): void {
-    const sequence = state === 'ready' ? 1 : 2;
-    const entry = standIn.entry(SERVICE, state, sequence, link.address);
+  private putConfiguration(): void {
+    const written = configuration(this.version, undefined, ANSWER_TARGET_S);
+    this.store.put('op', 'config', written);
+  }
+
+  /** Writes the entry of a server as it is; removes it if the server has gone. */
+  private putServerEntry(server: ClusterServer): void {
+    const {standIn, link, leavingSince, hasEnded} = server;
+    const isGone =
+      hasEnded ||
+      (leavingSince !== undefined &&
+        performance.now() >= leavingSince + ENTRY_REMOVAL_DELAY_MS);
+    if (isGone) return this.store.remove('servers', standIn.id);
+    const isReady = leavingSince === undefined;
+    const [state, sequence] = isReady ? ['ready', 1] : ['draining', 2];
+    const entry = standIn.entry(
+      SERVICE,
+      state as string,
+      sequence as number,
+      link.address,
+    );
     this.store.put('servers', standIn.id, entry);
   }
+
+  private replaceEnded(server: ClusterServer): void {
+    this.putServerEntry(server);
+    const added = this.addServer().finally(() => this.starting.delete(added));
+    this.starting.add(added);
+  }
+
+  /** Runs an action later, unless the cluster has been disposed of. */
+  private later(ms: number, action: () => unknown): void {
+    const timer = setTimeout(() => {
+      this.timers.delete(timer);
+      action();
+    }, ms);
+    this.timers.add(timer);
+  }
 }
--- a/bench/src/gateway/gateway_fault.ts
+++ b/bench/src/gateway/gateway_fault.ts
@@ -27,6 +27,17 @@
       readonly forMs: number;
     }
   | {readonly kind: 'store_forgets'}
+  /**
+   * The store goes away and returns from a copy that is `agoMs` old; operators
+   * and servers write theirs again.
+   */
+  | {
+      readonly kind: 'store_restored';
+      readonly agoMs: number;
+      readonly forMs: number;
+    }
+  /** Callers send a content, again and again, under which servers end. */
+  | {readonly kind: 'fatal_content'; readonly forMs: number}
   | {
       readonly kind: 'server';
       readonly server: number;
@@ -112,6 +123,8 @@
     {kind: 'store', mood: randomElement(rng, STORE_MODES), forMs},
     {kind: 'store_link', instance, mood: randomElement(rng, LINK_MODES), forMs},
     {kind: 'store_forgets'},
+    {kind: 'store_restored', agoMs: MAX_FAULT_MS, forMs: MIN_FAULT_MS},
+    {kind: 'fatal_content', forMs: MAX_FAULT_MS},
     {kind: 'server', server, mood: randomElement(rng, SERVER_MODES), forMs},
     {kind: 'server', server, mood: randomElement(rng, SERVER_MODES), forMs},
     {kind: 'server_link', server, mood: randomElement(rng, LINK_MODES), forMs},
--- a/bench/src/gateway/gateway_injector.ts
+++ b/bench/src/gateway/gateway_injector.ts
@@ -2,8 +2,10 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import type {EventLog} from '../history/event_log.js';
 import type {AcceptedChange, PlannedStop} from '../history/history.js';
+import {type GatewayCaller, REQUEST_KINDS} from './gateway_caller.js';
 import {
   type ClusterInstance,
+  FATAL_TARGET,
   type GatewayCluster,
   START_TIMEOUT_MS,
 } from './gateway_cluster.js';
@@ -15,6 +17,8 @@
  * milliseconds.
  */
 const CALLER_REDIRECT_DELAY_MS = 1_000;
+/** Time between two requests under which servers end, milliseconds. */
+const FATAL_INTERVAL_MS = 500;
 /** Minimum number of servers that are not draining. */
 const MIN_SERVERS = 4;
 
@@ -30,6 +34,7 @@
 
   constructor(
     private readonly cluster: GatewayCluster,
+    private readonly caller: GatewayCaller,
     private readonly disturbances: DisturbanceLog,
     private readonly log: EventLog,
   ) {}
@@ -88,6 +93,17 @@
       }
       case 'store_forgets':
         return cluster.store.forgetHistory();
+      case 'store_restored': {
+        const copy = cluster.store.copy();
+        await delay(fault.agoMs);
+        return this.holdDuringDisturbance(undefined, fault.forMs, isActive => {
+          cluster.store.mode = {kind: isActive ? 'resets' : 'well'};
+          if (isActive) cluster.store.cutConnections();
+          else cluster.restoreStore(copy);
+        });
+      }
+      case 'fatal_content':
+        return this.sendFatalContent(fault.forMs);
       case 'server': {
         const {standIn} = cluster.servers[fault.server]!;
         standIn.mode = fault.mood;
@@ -116,6 +132,21 @@
     }
   }
 
+  /** Sends the content to one instance after the other. */
+  private async sendFatalContent(forMs: number): Promise<void> {
+    const {instances} = this.cluster;
+    const sends = Array.from(
+      {length: forMs / FATAL_INTERVAL_MS},
+      async (unused, i) => {
+        await delay(i * FATAL_INTERVAL_MS);
+        const {process} = instances[i % instances.length]!;
+        const [read] = REQUEST_KINDS;
+        await this.caller.send(process.callersUrl, read, FATAL_TARGET);
+      },
+    );
+    await Promise.all(sends);
+  }
+
   private async holdDuringDisturbance(
     instance: string | undefined,
     ms: number,
@@ -189,8 +220,10 @@
   private async replaceServer(index: number): Promise<void> {
     const {cluster} = this;
     const server = cluster.servers[index]!;
-    const remaining = cluster.servers.filter(s => s.leavingSince === undefined);
-    if (server.leavingSince !== undefined) return;
+    const remaining = cluster.servers.filter(
+      s => s.leavingSince === undefined && !s.hasEnded,
+    );
+    if (server.leavingSince !== undefined || server.hasEnded) return;
     if (remaining.length <= MIN_SERVERS) return;
     cluster.drainServer(server);
     await cluster.addServer();
--- a/bench/src/gateway/gateway_run.ts
+++ b/bench/src/gateway/gateway_run.ts
@@ -13,7 +13,11 @@
 } from '../caller/arrivals.js';
 import {EventLog} from '../history/event_log.js';
 import type {FaultRun} from '../history/fault_run.js';
-import type {RevisionSample, ServerRecord} from '../history/history.js';
+import type {
+  FatalEndRecord,
+  RevisionSample,
+  ServerRecord,
+} from '../history/history.js';
 import {seededRandom} from '../scenario/random.js';
 import {
   GatewayCaller,
@@ -55,7 +59,7 @@
   const network = `127.${1 + (process.pid % 250)}`;
   await using cluster = await GatewayCluster.start(sizes, network);
   await using caller = new GatewayCaller(`g${seed}`);
-  const injector = new GatewayInjector(cluster, disturbances, log);
+  const injector = new GatewayInjector(cluster, caller, disturbances, log);
   const runEnded = new AbortController();
   const sampling = sampleVersions(cluster, disturbances, runEnded.signal);
   const faults = planGatewayFaults(rng, sizes, lengthMs);
@@ -99,6 +103,7 @@
     accepted: injector.accepted,
     revisions,
     stops: injector.stops,
+    fatalEnds: fatalEndsOf(cluster, caller, disturbances),
     hadFaults: true,
     inForceLimitMs: IN_FORCE_LIMIT_MS,
     leavingLimitMs: LEAVING_LIMIT_MS,
@@ -167,6 +172,39 @@
   return !served.includes(false);
 }
 
+/** Returns the instance that sent a request, by the request's id. */
+function senders(
+  cluster: GatewayCluster,
+  caller: GatewayCaller,
+): (request: string) => string | undefined {
+  const urls = new Map(
+    caller.observations.flatMap(o => o.copies).map(c => [c.key, c.url]),
+  );
+  const ids = new Map(
+    cluster.instances.map(({process}) => [
+      process.callersUrl,
+      process.identity.id,
+    ]),
+  );
+  return request => ids.get(urls.get(request) ?? '');
+}
+
+/** The ends of servers under a content, in the order of their time. */
+function fatalEndsOf(
+  cluster: GatewayCluster,
+  caller: GatewayCaller,
+  log: DisturbanceLog,
+): readonly FatalEndRecord[] {
+  const senderOf = senders(cluster, caller);
+  return cluster.fatalEnds.map(({request, at}) => {
+    const sender = senderOf(request);
+    return {
+      at,
+      isSenderStable: sender !== undefined && log.isStable(sender, at, at),
+    };
+  });
+}
+
 /**
  * The record of one server. Requests that it received while leaving count
  * only if the sending instance was undisturbed since the server began to leave.
@@ -182,17 +220,9 @@
     const count = (runs[id]?.count ?? 0) + 1;
     runs[id] = {count, finished: 0, cancelled: 0};
   });
-  const urls = new Map(
-    caller.observations.flatMap(o => o.copies).map(c => [c.key, c.url]),
-  );
-  const ids = new Map(
-    cluster.instances.map(({process}) => [
-      process.callersUrl,
-      process.identity.id,
-    ]),
-  );
+  const senderOf = senders(cluster, caller);
   const isSenderStable = (id: string, at: number) => {
-    const sender = ids.get(urls.get(id) ?? '');
+    const sender = senderOf(id);
     return sender !== undefined && log.isStable(sender, leavingSince ?? at, at);
   };
   const late = standIn.runs.filter(
--- a/bench/src/history/guarantees.test.ts
+++ b/bench/src/history/guarantees.test.ts
@@ -65,6 +65,10 @@
 const sample = {instance: 'e1', incarnation: 'x', serving: true};
 const accepted = [{revision: 2, operation: 'a', acceptedAt: 1_000}];
 
+function endsAt(isSenderStable: boolean, ...times: readonly number[]) {
+  return times.map(at => ({at, isSenderStable}));
+}
+
 /** A history with records relevant to each guarantee that violates none. */
 const VALID_HISTORY: History = {
   ...EMPTY_HISTORY,
@@ -94,6 +98,10 @@
     {...sample, revision: 1, incarnation: 'y', serving: false, at: 90_000},
   ],
   stops: [{instance: 'e1', exitCode: 0, from: 0, to: 20}],
+  fatalEnds: [
+    ...endsAt(true, 0, 500, 1_000, 3_900, 4_100, 5_000, 6_000),
+    ...endsAt(false, 7_000, 8_000),
+  ],
 };
 
 const VIOLATING_HISTORIES: Readonly<
@@ -171,6 +179,9 @@
       ],
     },
   ],
+  fatal_content_ends: [
+    {fatalEnds: endsAt(true, 0, 500, 1_000, 4_100, 4_600, 5_100, 5_600)},
+  ],
   configuration_holds: [
     {accepted, revisions: [{...sample, revision: 1, at: 8_000}]},
     {
--- a/bench/src/history/guarantees.ts
+++ b/bench/src/history/guarantees.ts
@@ -17,6 +17,8 @@
   LeavingGetsNoWork: 'leaving_gets_no_work',
   /** A planned stop interrupts no request. */
   GracefulStop: 'graceful_stop',
+  /** A content that ends its servers is soon sent to none. */
+  FatalContentEnds: 'fatal_content_ends',
   /** Accepted configuration is in force within seconds, and never reverts. */
   ConfigurationHolds: 'configuration_holds',
 } as const;
@@ -33,6 +35,10 @@
 
 /** Time after which a leaving server must get no work, milliseconds. */
 export const LEAVING_LIMIT_MS = 3_000;
+/** Time after the third end of a server from which a content is known, milliseconds. */
+export const FATAL_SETTLING_MS = 3_000;
+/** Servers that may end under a content after that. */
+export const MAX_LATE_FATAL_ENDS = 3;
 /** Time within which an accepted change is in force, milliseconds. */
 export const IN_FORCE_LIMIT_MS = 6_000;
 /** Window over which probes are counted, milliseconds. */
@@ -70,6 +76,8 @@
       );
     case Guarantee.GracefulStop:
       return findInterruptedByStops(history);
+    case Guarantee.FatalContentEnds:
+      return findLateFatalEnds(history);
     case Guarantee.ConfigurationHolds:
       return [
         ...findStaleRevisions(history),
@@ -82,6 +90,17 @@
   }
 }
 
+function findLateFatalEnds({fatalEnds = []}: History): string[] {
+  const third = fatalEnds[2];
+  if (!third) return [];
+  const late = fatalEnds.filter(
+    ({at, isSenderStable}) =>
+      isSenderStable && at > third.at + FATAL_SETTLING_MS,
+  );
+  if (late.length <= MAX_LATE_FATAL_ENDS) return [];
+  return [`${late.length} servers ended late under one content`];
+}
+
 function findProbesOverBudget(server: ServerRecord): string[] {
   const {probes} = server.ledger;
   const allowed =
--- a/bench/src/history/history.ts
+++ b/bench/src/history/history.ts
@@ -52,6 +52,14 @@
   readonly to: number;
 }
 
+/** The end of a server under a content that ends each one. */
+export interface FatalEndRecord {
+  /** On the callers' clock, milliseconds. */
+  readonly at: number;
+  /** Whether the instance that sent the request was undisturbed. */
+  readonly isSenderStable: boolean;
+}
+
 /** Everything that a run recorded. */
 export interface History {
   readonly observations: readonly Observation[];
@@ -61,6 +69,8 @@
   /** Undefined if the instances' histories were not read. */
   readonly recordedChanges?: readonly RecordedChange[];
   readonly stops: readonly PlannedStop[];
+  /** Ends of servers under one content; undefined if the run had none. */
+  readonly fatalEnds?: readonly FatalEndRecord[];
   /** Whether the run had faults other than planned stops. */
   readonly hadFaults: boolean;
   /** Overrides the time within which an accepted change is in force. */
