Send fatal content in the soak only to instances that callers use

The new fault sent its content to all instances, also to those that callers had left a second after SIGTERM; the load does not.

--- a/bench/src/gateway/gateway_injector.ts
+++ b/bench/src/gateway/gateway_injector.ts
@@ -134,11 +134,13 @@
 
   /** Sends the content to one instance after the other. */
   private async sendFatalContent(forMs: number): Promise<void> {
-    const {instances} = this.cluster;
     const sends = Array.from(
       {length: forMs / FATAL_INTERVAL_MS},
       async (unused, i) => {
         await delay(i * FATAL_INTERVAL_MS);
+        const instances = this.cluster.instances.filter(instance =>
+          this.receivesRequests(instance),
+        );
         const {process} = instances[i % instances.length]!;
         const [read] = REQUEST_KINDS;
         await this.caller.send(process.callersUrl, read, FATAL_TARGET);
