Count the time that a silent store takes in the delay before the next call

Followers were woken every second by a change of role that was none, which also ended the pause after a failed call. Since it is told only when the role changes, a call into silence (0.8 s) and the pause after it (0.8 s) add up, and the first answer may come 1.6 s after the cut.

The pause after a failed call counts the time that the call took, so that a silent store is asked at least once a second, as before.

--- a/packages/gateway/src/platform/table_follower.ts
+++ b/packages/gateway/src/platform/table_follower.ts
@@ -11,6 +11,7 @@
 import type {GatewayLog} from '../log/gateway_log.js';
 import type {GatewayMetrics} from '../metrics/gateway_metrics.js';
 import type {NewsExchange} from '../peer/news_exchange.js';
+import {type RetryTiming, retryDelayAfter} from './retry_delay.js';
 import type {StoreWatch} from './store_watch.js';
 import type {
   DecodedRow,
@@ -27,7 +28,7 @@
 const COMMON_OUTAGE_RETRY_MS = 2_500;
 
 /** Timing of the calls for a table. */
-export interface FollowTiming {
+export interface FollowTiming extends RetryTiming {
   /** Longest time that the store may delay its answer when nothing changes, milliseconds. */
   readonly longPollMs: number;
   /** The same while other instances listen; below `confirmationAgeMs`: they need confirmation that they are current. */
@@ -39,10 +40,6 @@
    * it was read counts as current until its next confirmation is due.
    */
   readonly pollsUntilFleetKnown: boolean;
-  /** Delay after the first failed call, milliseconds; it doubles with each failure. */
-  readonly minRetryMs: number;
-  /** Maximum delay after a failed call, milliseconds. */
-  readonly maxRetryMs: number;
   /** Delay after a change, so that following changes are read in one call, milliseconds. */
   readonly batchMs: number;
 }
@@ -78,6 +75,8 @@
 export class TableFollower<T> {
   private readonly position: TablePosition;
   private failures = 0;
+  /** When the latest call of the store began. */
+  private calledAt = -Infinity;
   /** Whether the latest update of a source was that the store does not answer. */
   private sourcesLostStore = false;
   /** Ends the current call early; replaced after each use. */
@@ -123,6 +122,7 @@
 
   private async readAll(signal: AbortSignal): Promise<boolean> {
     const startedAt = this.position.current;
+    this.calledAt = this.context.clock.now();
     const read = await this.source.read(signal);
     if (read.isErr()) {
       await this.storeFailed(read.error, signal);
@@ -169,6 +169,7 @@
       const awaiting = this.awaitingCall.splice(0);
       const settle = () => awaiting.forEach(resolve => resolve());
       const longPollMs = awaiting.length > 0 ? 0 : this.currentLongPollMs;
+      this.calledAt = this.context.clock.now();
       const read = await this.source.changes(
         from.version,
         longPollMs,
@@ -340,10 +341,11 @@
 
   /** Delay before the next call after a failed one, milliseconds. */
   private retryDelayMs(): number {
-    const {minRetryMs, maxRetryMs} = this.timing;
-    if (this.sourcesLostStore && this.context.exchange.hasSources) {
-      return Math.max(COMMON_OUTAGE_RETRY_MS, maxRetryMs);
+    const {exchange, clock} = this.context;
+    if (this.sourcesLostStore && exchange.hasSources) {
+      return Math.max(COMMON_OUTAGE_RETRY_MS, this.timing.maxRetryMs);
     }
-    return Math.min(maxRetryMs, minRetryMs * 2 ** Math.min(this.failures, 8));
+    const spentMs = clock.now() - this.calledAt;
+    return retryDelayAfter(this.failures, spentMs, this.timing);
   }
 }
