--- a/packages/gateway/src/request/request_report.ts
+++ b/packages/gateway/src/request/request_report.ts
@@ -34,3 +34,8 @@
   requestLog.end();
   metrics.requestEnded(route, end.kind, reason || String(status ?? ''), ms);
 }
+
+/** Rounds a figure for the log. */
+export function roundToHundredths(value: number): number {
+  return Math.round(value * 100) / 100;
+}
--- a/packages/gateway/src/request/request_run.ts
+++ b/packages/gateway/src/request/request_run.ts
@@ -26,7 +26,7 @@
 } from './caller_request.js';
 import {firstDefined, orTimeout} from './promise_race.js';
 import type {RequestQueue} from './request_queue.js';
-import {reportEnd} from './request_report.js';
+import {reportEnd, roundToHundredths} from './request_report.js';
 import type {RunContext} from './run_context.js';
 import {recordSend} from './send_record.js';
 
@@ -290,8 +290,8 @@
     this.requestLog.add('sent', {
       route: route.name,
       server: server.entry.id,
-      cost: round(cost),
-      load: round(server.loadAt(startedAt)),
+      cost: roundToHundredths(cost),
+      load: roundToHundredths(server.loadAt(startedAt)),
       reportAgeMs: Math.round(server.reportAge(startedAt)),
       attempt: this.sends + 1,
       timeLeftMs: Math.round(timeLeftMs),
@@ -395,7 +395,3 @@
 function unknown(reason: Failure): RequestEnd {
   return {kind: 'unknown', reason};
 }
-
-function round(value: number): number {
-  return Math.round(value * 100) / 100;
-}
