Forget an announced era that the store does not name

Found by reading: while a later position was announced, a follower asked without a wait. If the announcement was wrong, or reads were stale for some seconds, it would have asked again and again. It does so only for a later era now, and the next answer of the store decides which era that is.

table_position.test.ts has the case, written with the change.

--- a/packages/balancer/src/instance/table_position.test.ts
+++ b/packages/balancer/src/instance/table_position.test.ts
@@ -169,3 +169,14 @@
   t.is(position.recordUpdate(older, START + 40), UpdateAction.None);
   t.deepEqual(position.current, read);
 });
+
+test('an announced era that the store does not name is forgotten with the next read', t => {
+  const position = readAt(39, START);
+  const announced = {kind: 'changed', era: ERA + 9, version: 1} as const;
+  position.recordUpdate(announced, START + 10);
+  t.true(position.awaitsEra);
+  const read = {era: ERA, version: 40};
+  position.recordChanges(read, position.current, START + 20);
+  t.false(position.awaitsEra);
+  t.true(position.readDueAt > START + 1_000);
+});
--- a/packages/balancer/src/instance/table_position.ts
+++ b/packages/balancer/src/instance/table_position.ts
@@ -89,9 +89,9 @@
     return this.known;
   }
 
-  /** Whether a newer position is known to exist. */
-  get isBehind(): boolean {
-    return this.behindSince !== undefined;
+  /** Whether the store is said to be in a later era than the known position. */
+  get awaitsEra(): boolean {
+    return this.announced.era > this.known.era;
   }
 
   /** Time by which this instance has to read the table, milliseconds. */
@@ -113,11 +113,11 @@
   ): ReadVerdict {
     const isFirst = this.known === UNKNOWN;
     if (!isFirst && isRestored(read, startedAt)) {
-      this.advance(read, now);
+      this.advanceByRead(read, now);
       return ReadVerdict.Restored;
     }
     if (isBefore(read, this.known)) return ReadVerdict.Overtaken;
-    this.advance(read, now);
+    this.advanceByRead(read, now);
     return ReadVerdict.Newest;
   }
 
@@ -134,7 +134,7 @@
   ): ReadVerdict {
     if (isRestored(read, from)) return ReadVerdict.Restored;
     if (isBefore(read, this.known)) return ReadVerdict.Overtaken;
-    this.advance(read, now);
+    this.advanceByRead(read, now);
     return ReadVerdict.Newest;
   }
 
@@ -179,6 +179,12 @@
     return UpdateAction.Behind;
   }
 
+  private advanceByRead(read: StorePosition, now: number): void {
+    // The store itself has just named its era.
+    if (this.announced.era > read.era) this.announced = read;
+    this.advance(read, now);
+  }
+
   private advance({era, version}: StorePosition, now: number): void {
     this.known = {era, version};
     this.confirmedAt = now;
--- a/packages/gateway/src/platform/table_follower.ts
+++ b/packages/gateway/src/platform/table_follower.ts
@@ -31,7 +31,10 @@
 export interface FollowTiming extends RetryTiming {
   /** Longest time that the store may delay its answer when nothing changes, milliseconds. */
   readonly longPollMs: number;
-  /** The same while other instances listen; below `confirmationAgeMs`: they need confirmation that they are current. */
+  /**
+   * The same while other instances listen, milliseconds; below `confirmationAgeMs`,
+   * since they need confirmation that they are current.
+   */
   readonly relayLongPollMs: number;
   /** Age of the last confirmation after which the table is read, milliseconds. */
   readonly confirmationAgeMs: number;
@@ -224,7 +227,7 @@
   private get currentLongPollMs(): number {
     // After a failure, an immediate answer shows that the store is back. One in
     // another era need not have changes after the known version.
-    if (this.failures > 0 || this.position.isBehind) return 0;
+    if (this.failures > 0 || this.position.awaitsEra) return 0;
     const {exchange} = this.context;
     return exchange.hasListeners
       ? this.timing.relayLongPollMs
