--- a/packages/gateway/src/instance/reach_monitor.ts
+++ b/packages/gateway/src/instance/reach_monitor.ts
@@ -49,6 +49,8 @@
   private readonly reach: ServerReach;
   private helpers: readonly string[] = [];
   private askedAt = -Infinity;
+  /** When the checks began; undefined while there is no suspicion. */
+  private suspectedAt: number | undefined;
 
   constructor(private readonly context: ReachContext) {
     this.reach = new ServerReach(context.random);
@@ -95,13 +97,19 @@
       now,
     );
     if (asked.length > 0) {
+      if (this.suspectedAt === undefined) {
+        this.suspectedAt = now;
+        log.dependency('servers_suspected', {asked: asked.length});
+      }
       const responses = await Promise.all(asked.map(id => this.responds(id)));
       const responded = responses.filter(Boolean).length;
       const change = this.reach.recordCheck(responded, clock.now());
       if (change !== undefined) {
-        const fields = {asked: asked.length, responded};
+        const afterMs = Math.round(clock.now() - this.suspectedAt);
+        const fields = {asked: asked.length, responded, afterMs};
         log.dependency(`servers_${change}`, fields);
       }
+      if (responded > 0 && !this.reach.isCutOff) this.suspectedAt = undefined;
     }
     const isDue = clock.now() - this.askedAt >= ASK_INTERVAL_MS;
     if (this.reach.isCutOff && isDue) await this.findHelpers();
