Pass requests on to another instance while no server is in reach

What callers saw: at an instance that had lost its links to all servers nothing was served; in the first second or two what came waited until it expired, then it was refused until the caller asked for an address again.

Cause: an instance had nothing to offer but its own links.

Change: requests are relayed, once, to an instance that reaches servers, from the suspicion on; an instance that starts is suspect until it has reached one. adviseRelay and ServerReach decide and are tested without a network. Connections that break off count as failures of their servers. RequestRun is split: its progress, its relays and the watch for hedges have files of their own. An answer that names other instances is kept shorter, since it may be older than their own.

--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -47,6 +47,7 @@
 export * from './backend_server/backpressure.js';
 export * from './instance/limit_shares.js';
 export * from './instance/server_reach.js';
+export * from './service/relay_advice.js';
 export * from './instance/stop_plan.js';
 export * from './backend_server/probe_rate_limiter.js';
 export * from './instance/deployment.js';
--- a/packages/balancer/src/instance/server_reach.ts
+++ b/packages/balancer/src/instance/server_reach.ts
@@ -2,7 +2,8 @@
  * Decides whether this instance is cut off from the backend servers: all of its
  * connections to them hang, are reset, or live on while new ones are refused.
  * Failures of several servers raise the suspicion; fresh connections to others
- * decide, since single servers fail every day.
+ * decide, since single servers fail every day. An instance that has just started
+ * is suspect until it has reached a server.
  */
 import type {Random} from '../link/random.js';
 
@@ -21,43 +22,76 @@
 /** Time for which a response shows that open connections live on, milliseconds. */
 const RESPONSE_VALID_MS = 500;
 
-/** Change of the verdict by a check. */
-export type ReachChange = 'cut_off' | 'reached' | undefined;
+/** What an instance believes of its way to the servers. */
+export const ReachState = {
+  Reached: 'reached',
+  /** Several servers have failed at once, or none has responded yet. */
+  Suspected: 'suspected',
+  /** No new connection to any server succeeds. */
+  CutOff: 'cut_off',
+} as const;
 
-/** What one instance believes of its way to the servers. */
+/** One of the values of {@link ReachState}. */
+export type ReachState = (typeof ReachState)[keyof typeof ReachState];
+
+/** The way of one instance to the servers. */
 export class ServerReach {
   private readonly failedAt = new Map<string, number>();
+  /** Servers that have failed since any server responded. */
+  private readonly failedSinceResponse = new Set<string>();
   private respondedAt = -Infinity;
   private nextCheckAt = -Infinity;
-  private cutOff = false;
+  private current: ReachState = ReachState.Suspected;
+  private minFailed = MIN_FAILED_SERVERS;
   /** Checks in a row that contradict the verdict. */
   private contradictions = 0;
 
   constructor(private readonly random: Random) {}
 
+  get state(): ReachState {
+    return this.current;
+  }
+
   /** Whether no new connection to any server succeeds. */
   get isCutOff(): boolean {
-    return this.cutOff;
+    return this.current === ReachState.CutOff;
   }
 
-  /** Whether no server can be reached, not even on open connections. */
-  reachesNothing(now: number): boolean {
-    return this.cutOff && now - this.respondedAt > RESPONSE_VALID_MS;
+  /**
+   * Whether nothing suggests that a server still responds, not even on an open
+   * connection.
+   */
+  isSilent(now: number): boolean {
+    if (this.current === ReachState.Reached) return false;
+    return (
+      this.failedSinceResponse.size >= this.minFailed ||
+      now - this.respondedAt > RESPONSE_VALID_MS
+    );
   }
 
   /** Records a response of any server. */
   recordResponse(now: number): void {
     this.respondedAt = now;
+    this.failedSinceResponse.clear();
   }
 
   /** Records that a server refused a connection or did not respond. */
   recordFailure(server: string, now: number): void {
     this.failedAt.delete(server);
     this.failedAt.set(server, now);
+    this.failedSinceResponse.add(server);
+  }
+
+  /** Records that a server was added, which may be in reach though all others failed. */
+  recordServerAdded(): void {
+    if (this.current !== ReachState.CutOff) return;
+    this.change(ReachState.Suspected);
+    this.nextCheckAt = -Infinity;
   }
 
   /**
-   * Returns the servers to ask now; none if there is no need.
+   * Returns the servers to ask now; none if there is no need. If there are any,
+   * the instance is suspect from now on.
    *
    * @param knownServers Returns the servers that may be asked; costly.
    */
@@ -65,7 +99,8 @@
     knownServers: () => readonly string[],
     now: number,
   ): readonly string[] {
-    const isCalm = !this.cutOff && this.failedAt.size === 0;
+    const isReached = this.current === ReachState.Reached;
+    const isCalm = isReached && this.failedAt.size === 0;
     if (isCalm || now < this.nextCheckAt) return [];
     this.nextCheckAt = now + CHECK_INTERVAL_MS;
     const known = knownServers();
@@ -73,26 +108,41 @@
     this.failedAt.forEach((at, id) => {
       if (now - at > FAILURE_VALID_MS) this.failedAt.delete(id);
     });
-    const minFailed = Math.min(MIN_FAILED_SERVERS, known.length);
-    if (!this.cutOff && this.failedAt.size < minFailed) return [];
+    this.minFailed = Math.min(MIN_FAILED_SERVERS, known.length);
+    if (isReached && this.failedAt.size < this.minFailed) return [];
+    if (isReached) this.current = ReachState.Suspected;
     const sound = known.filter(id => !this.failedAt.has(id));
     const preferred = [...this.shuffled(sound), ...this.shuffled(known)];
     return [...new Set(preferred)].slice(0, SERVERS_PER_CHECK);
   }
 
   /** Takes in how many of the servers in a check responded. */
-  recordCheck(responded: number, now: number): ReachChange {
-    const contradicts = this.cutOff ? responded > 0 : responded === 0;
-    this.contradictions = contradicts ? this.contradictions + 1 : 0;
-    if (!this.cutOff && responded > 0) {
-      this.nextCheckAt = now + CALM_INTERVAL_MS;
-      this.failedAt.clear();
+  recordCheck(responded: number, now: number): void {
+    switch (this.current) {
+      case ReachState.Reached:
+        return;
+      case ReachState.Suspected:
+        if (responded === 0) return this.contradict(ReachState.CutOff);
+        this.nextCheckAt = now + CALM_INTERVAL_MS;
+        return this.change(ReachState.Reached);
+      case ReachState.CutOff:
+        if (responded > 0) return this.contradict(ReachState.Reached);
+        this.contradictions = 0;
+        return;
+      default:
+        this.current satisfies never;
     }
-    if (this.contradictions < CHECKS_TO_CHANGE) return undefined;
-    this.cutOff = !this.cutOff;
+  }
+
+  private contradict(next: ReachState): void {
+    this.contradictions += 1;
+    if (this.contradictions >= CHECKS_TO_CHANGE) this.change(next);
+  }
+
+  private change(next: ReachState): void {
+    this.current = next;
     this.contradictions = 0;
     this.failedAt.clear();
-    return this.cutOff ? 'cut_off' : 'reached';
   }
 
   private shuffled(ids: readonly string[]): readonly string[] {
--- a/packages/gateway/src/backend_server/backend_client.ts
+++ b/packages/gateway/src/backend_server/backend_client.ts
@@ -10,7 +10,7 @@
   StatementSource,
 } from '@ragworthall/balancer';
 import type {AnswerHead, WireFormat} from '../platform/wire_format.js';
-import {AnswerMemory, type AnswerLimits} from './answer_memory.js';
+import type {AnswerMemory} from './answer_memory.js';
 import {BackendConnection, type OutgoingRequest} from './backend_connection.js';
 import {Attribution, BackendConnectionPool} from './backend_connection_pool.js';
 import type {ExchangeResult, Message} from './exchange.js';
@@ -79,15 +79,11 @@
 export class BackendClient implements Disposable {
   private readonly pools = new Map<string, BackendConnectionPool>();
 
-  private readonly memory: AnswerMemory;
-
   constructor(
     private readonly wire: WireFormat,
-    limits: AnswerLimits,
+    private readonly memory: AnswerMemory,
     private readonly onStatements: StatementListener,
-  ) {
-    this.memory = new AnswerMemory(limits);
-  }
+  ) {}
 
   /** Sends a request. Never rejects. */
   async send(server: SharedServer, dispatch: Dispatch): Promise<SendResult> {
@@ -118,7 +114,7 @@
     );
     switch (result.kind) {
       case 'message':
-        return this.toSendResult(result);
+        return this.toSendResult(server, result);
       case 'broken':
         return {kind: 'lost', detail: result.detail, brokeOff: true};
       case 'not_sent':
@@ -227,7 +223,7 @@
   }
 
   /** Translates an answer that names no other request. */
-  private toSendResult(message: Message): SendResult {
+  private toSendResult({entry}: SharedServer, message: Message): SendResult {
     const {headers} = this.wire;
     const {status, body} = message;
     const load = this.loadReportOf(message);
@@ -250,7 +246,7 @@
     );
     return {
       kind: 'answered',
-      answer: {status, headers: flatHeaders, body},
+      answer: {server: entry.id, status, headers: flatHeaders, body},
       load,
     };
   }
--- a/packages/gateway/src/backend_server/send_result.ts
+++ b/packages/gateway/src/backend_server/send_result.ts
@@ -3,6 +3,8 @@
 
 /** A complete answer. */
 export interface ServerAnswer {
+  /** Id of the server that gave it. */
+  readonly server: string;
   readonly status: number;
   /** Alternating names and values, including hop-by-hop headers. */
   readonly headers: readonly string[];
--- a/packages/gateway/src/caller/caller_server.test.ts
+++ b/packages/gateway/src/caller/caller_server.test.ts
@@ -29,7 +29,8 @@
   if (target === '/throws') throw new Error('unexpected');
   const status = Number(target.slice(1));
   const body = Buffer.from('done');
-  return {kind: 'answered', answer: {status, headers: ['x-a', 'b'], body}};
+  const headers = ['x-a', 'b'];
+  return {kind: 'answered', answer: {server: 'i-1', status, headers, body}};
 }
 
 async function serve(t: {teardown(end: () => void): void}) {
--- a/packages/gateway/src/caller/caller_server.ts
+++ b/packages/gateway/src/caller/caller_server.ts
@@ -8,6 +8,11 @@
   type ServerResponse,
 } from 'node:http';
 import type {Socket} from 'node:net';
+import {
+  ANSWERING_SERVER_HEADER,
+  parseRelayTerms,
+  RELAY_HEADER,
+} from '../peer/relay_header.js';
 import type {WireFormat} from '../platform/wire_format.js';
 import type {CallerRequest, RequestEnd} from '../request/caller_request.js';
 import {readBody} from './body.js';
@@ -187,7 +192,12 @@
     const {host} = req.headers;
     if (typeof id !== 'string' || host === undefined) return undefined;
     const timeoutMs = Number(req.headers[names.timeLeft] ?? DEFAULT_TIMEOUT_MS);
-    const replacedHeaders = new Set([names.timeLeft, names.expectedServer]);
+    const replacedHeaders = new Set([
+      names.timeLeft,
+      names.expectedServer,
+      RELAY_HEADER,
+    ]);
+    const relay = req.headers[RELAY_HEADER];
     return {
       id,
       method: req.method ?? 'GET',
@@ -201,6 +211,7 @@
       arrivedAt,
       timeoutMs: Number.isFinite(timeoutMs) ? timeoutMs : DEFAULT_TIMEOUT_MS,
       callerGone,
+      relay: typeof relay === 'string' ? parseRelayTerms(relay) : undefined,
     };
   }
 
@@ -214,8 +225,12 @@
     if (connection.closesAfter(res)) res.setHeader('connection', 'close');
     switch (end.kind) {
       case 'answered': {
-        const {status, headers, body} = end.answer;
-        const internalHeaders = new Set([names.load, names.serverId]);
+        const {server, status, headers, body} = end.answer;
+        const internalHeaders = new Set([
+          names.load,
+          names.serverId,
+          ANSWERING_SERVER_HEADER,
+        ]);
         const kept = removeHopByHopHeaders(
           headers,
           name => !internalHeaders.has(name),
@@ -223,6 +238,7 @@
         for (let i = 0; i + 1 < kept.length; i += 2) {
           res.appendHeader(kept[i]!, kept[i + 1]!);
         }
+        if (request.relay) res.setHeader(ANSWERING_SERVER_HEADER, server);
         if (!STATUSES_WITHOUT_BODY.has(status) && request.method !== 'HEAD') {
           res.setHeader('content-length', body.byteLength);
         }
--- a/packages/gateway/src/instance/gateway.ts
+++ b/packages/gateway/src/instance/gateway.ts
@@ -11,7 +11,10 @@
   StopPlan,
 } from '@ragworthall/balancer';
 import {setTimeout as delay} from 'node:timers/promises';
-import type {AnswerLimits} from '../backend_server/answer_memory.js';
+import {
+  type AnswerLimits,
+  AnswerMemory,
+} from '../backend_server/answer_memory.js';
 import {BackendClient} from '../backend_server/backend_client.js';
 import {Prober} from '../backend_server/prober.js';
 import {StatementRecorder} from '../backend_server/statement_recorder.js';
@@ -25,14 +28,19 @@
 import type {RowSource} from '../platform/row_source.js';
 import type {FleetDirectory} from '../peer/fleet_directory.js';
 import {NewsExchange} from '../peer/news_exchange.js';
+import {RelayClient} from '../peer/relay_client.js';
 import {TableFollower} from '../platform/table_follower.js';
 import {StoreWatch} from '../platform/store_watch.js';
 import type {WireFormat} from '../platform/wire_format.js';
-import {runRequest} from '../request/request_run.js';
+import {runRequest} from '../request/request_handler.js';
 import {RequestQueues} from '../request/request_queue.js';
 import {ConfigurationSink} from './configuration_sink.js';
 import {pause} from './pause.js';
-import {ReachMonitor, type ServingCheck} from './reach_monitor.js';
+import {
+  ASK_INTERVAL_MS,
+  ReachMonitor,
+  type ServingCheck,
+} from './reach_monitor.js';
 import type {PauseGuard} from './pause_guard.js';
 import {RegistrySink} from './registry_sink.js';
 import {
@@ -45,6 +53,11 @@
 const ADDRESS_TTL_MS = 1_000;
 /** Callers are assumed to cache an address answer for up to this multiple of its TTL. */
 const ADDRESS_TTL_OVERRUN = 3;
+/**
+ * The same for an answer that names other instances: it may be older by the
+ * interval at which they are asked, and a stopping one serves no longer for that.
+ */
+const OTHERS_TTL_MS = ADDRESS_TTL_MS - ASK_INTERVAL_MS;
 /**
  * Fraction of the grace period after which requests in flight are aborted; the
  * rest is for a slow process to end by itself.
@@ -95,6 +108,7 @@
 export class Gateway implements AsyncDisposable {
   private readonly deployment: Deployment;
   private readonly backendClient: BackendClient;
+  private readonly relayClient: RelayClient;
   private readonly callerServer: CallerServer;
   private readonly registrySink: RegistrySink;
   private readonly contents: SharedContents;
@@ -124,11 +138,11 @@
       random,
     });
     const statements = new StatementRecorder(clock, log, metrics);
-    this.backendClient = new BackendClient(
-      wire,
-      options.answerLimits,
-      (server, message) => statements.record(server, message),
+    const memory = new AnswerMemory(options.answerLimits);
+    this.backendClient = new BackendClient(wire, memory, (server, message) =>
+      statements.record(server, message),
     );
+    this.relayClient = new RelayClient(wire, memory, () => undefined);
     const probeRateLimiter = new ProbeRateLimiter(() => ({
       perServerPerS: options.probesPerServerPerS,
       servers: this.deployment.serversTakingWork,
@@ -151,6 +165,10 @@
       probeRateLimiter,
       this.reach,
     );
+    const queues = new RequestQueues(prober, clock, err =>
+      log.taskFailed('request_queue', err),
+    );
+    this.reach.onUnreachable(() => queues.release());
     this.contents = new SharedContents(
       options.instance,
       options.contents,
@@ -159,9 +177,7 @@
     );
     const context = {
       deployment: this.deployment,
-      queues: new RequestQueues(prober, clock, err =>
-        log.taskFailed('request_queue', err),
-      ),
+      queues,
       prober,
       backendClient: this.backendClient,
       clock,
@@ -169,6 +185,7 @@
       instanceCount: () => newsExchange.instanceCount,
       stopPlan: () => this.stopPlan,
       reach: this.reach,
+      relayClient: this.relayClient,
       contentGuard: new ContentGuard(
         this.contents,
         new ProcessExaminer(this.deployment, this.backendClient),
@@ -201,6 +218,7 @@
       this.backendClient,
       clock,
       log,
+      () => this.reach.recordServerAdded(),
     );
   }
 
@@ -239,11 +257,13 @@
   addresses(): AddressAnswer | undefined {
     if (!this.isReady) return undefined;
     const {host, port} = this.options.callers;
-    const addresses = this.reach.isCutOff
-      ? this.reach.servingAddresses
-      : [`${host}:${port}`];
-    if (addresses.length === 0) return undefined;
-    return {addresses, ttlMs: ADDRESS_TTL_MS};
+    const {isCutOff, isSilent, servingAddresses} = this.reach;
+    const isElsewhere = isCutOff || (isSilent && servingAddresses.length > 0);
+    if (!isElsewhere) {
+      return {addresses: [`${host}:${port}`], ttlMs: ADDRESS_TTL_MS};
+    }
+    if (servingAddresses.length === 0) return undefined;
+    return {addresses: servingAddresses, ttlMs: OTHERS_TTL_MS};
   }
 
   /**
@@ -274,6 +294,7 @@
     this.registrySink[Symbol.dispose]();
     this.callerServer.stopListening();
     this.backendClient[Symbol.dispose]();
+    this.relayClient[Symbol.dispose]();
     await this.newsExchange[Symbol.asyncDispose]();
     await this.running;
   }
--- a/packages/gateway/src/instance/reach_monitor.ts
+++ b/packages/gateway/src/instance/reach_monitor.ts
@@ -7,11 +7,12 @@
   type Deployment,
   type InstanceEntry,
   type Random,
+  ReachState,
   ServerReach,
   type SharedServer,
 } from '@ragworthall/balancer';
 import type {BackendClient} from '../backend_server/backend_client.js';
-import type {GatewayLog} from '../log/gateway_log.js';
+import type {GatewayLog, LogFields} from '../log/gateway_log.js';
 import {pause} from './pause.js';
 
 /** Interval at which the need for a check is looked at, milliseconds. */
@@ -20,8 +21,8 @@
 const CHECK_TIMEOUT_MS = 300;
 /** Instances that are asked at once whether they serve. */
 const MAX_ASKED = 12;
-/** Interval at which they are asked while this instance is cut off, milliseconds. */
-const ASK_INTERVAL_MS = 1_000;
+/** Interval at which they are asked while no server is reached, milliseconds. */
+export const ASK_INTERVAL_MS = 250;
 const RANDOM_STEPS = 1_024;
 
 /**
@@ -44,16 +45,34 @@
   readonly log: GatewayLog;
 }
 
+/** An instance that serves callers. */
+interface Helper {
+  /** Where callers connect to it. */
+  readonly address: string;
+  /** Whether it is in the failure domain of this instance. */
+  readonly isNear: boolean;
+  /** Whether it has taken what this instance passed on, as far as is known. */
+  readonly takesRelays: boolean;
+}
+
 /** The reach of one instance. */
 export class ReachMonitor {
   private readonly reach: ServerReach;
-  private helpers: readonly string[] = [];
+  /** The instances that serve callers, by id. */
+  private readonly helpers = new Map<string, Helper>();
+  private readonly listeners = new Set<() => void>();
   private askedAt = -Infinity;
-  /** When the checks began; undefined while there is no suspicion. */
-  private suspectedAt: number | undefined;
+  private helpersAsked = false;
+  /** When the latest suspicion arose; an instance that starts is suspect. */
+  private suspectedAt: number;
 
   constructor(private readonly context: ReachContext) {
     this.reach = new ServerReach(context.random);
+    this.suspectedAt = context.clock.now();
+  }
+
+  get state(): ReachState {
+    return this.reach.state;
   }
 
   /** Whether this instance is cut off from all servers. */
@@ -61,14 +80,59 @@
     return this.reach.isCutOff;
   }
 
-  /** Whether no server can be reached, not even on open connections. */
-  get reachesNothing(): boolean {
-    return this.reach.reachesNothing(this.context.clock.now());
+  /** Whether nothing suggests that a server still responds. */
+  get isSilent(): boolean {
+    return this.reach.isSilent(this.context.clock.now());
   }
 
   /** Addresses of instances that serve callers while this one cannot. */
   get servingAddresses(): readonly string[] {
-    return this.helpers;
+    return [...this.helpers.values()].map(({address}) => address);
+  }
+
+  /** Whether the other instances have been asked, as far as there are any. */
+  get knowsHelpers(): boolean {
+    const {instances} = this.context;
+    return this.helpersAsked || instances().length === 1;
+  }
+
+  /**
+   * Returns one of these addresses that is not among `except`, at random; from
+   * another failure domain if there is one, since the own may be cut off whole.
+   */
+  pickServing(except: ReadonlySet<string>): string | undefined {
+    const usable = [...this.helpers.values()].filter(
+      ({address, takesRelays}) => takesRelays && !except.has(address),
+    );
+    const far = usable.filter(({isNear}) => !isNear);
+    const preferred = far.length > 0 ? far : usable;
+    const steps = Math.max(1, preferred.length);
+    return preferred[this.context.random.nextInt(steps)]?.address;
+  }
+
+  /**
+   * Records that the instance at this address takes nothing that is passed on;
+   * nothing is until it has been asked again.
+   */
+  recordRelayRefused(address: string): void {
+    this.helpers.forEach((helper, id) => {
+      if (helper.address !== address) return;
+      this.helpers.set(id, {...helper, takesRelays: false});
+    });
+  }
+
+  /** Records that a server was added to the registry. */
+  recordServerAdded(): void {
+    this.reach.recordServerAdded();
+  }
+
+  /**
+   * Calls `listener` whenever requests need not wait any longer for the servers
+   * that this instance has chosen.
+   */
+  onUnreachable(listener: () => void): Disposable {
+    this.listeners.add(listener);
+    return {[Symbol.dispose]: () => void this.listeners.delete(listener)};
   }
 
   /** Records a response of any server. */
@@ -90,29 +154,57 @@
   }
 
   private async check(): Promise<void> {
-    const {deployment, clock, log} = this.context;
+    const {deployment, clock} = this.context;
     const now = clock.now();
+    const before = this.reach.state;
     const asked = this.reach.serversToCheck(
       () => deployment.checkableServerIds(now),
       now,
     );
-    if (asked.length > 0) {
-      if (this.suspectedAt === undefined) {
-        this.suspectedAt = now;
-        log.dependency('servers_suspected', {asked: asked.length});
-      }
-      const responses = await Promise.all(asked.map(id => this.responds(id)));
-      const responded = responses.filter(Boolean).length;
-      const change = this.reach.recordCheck(responded, clock.now());
-      if (change !== undefined) {
-        const afterMs = Math.round(clock.now() - this.suspectedAt);
-        const fields = {asked: asked.length, responded, afterMs};
-        log.dependency(`servers_${change}`, fields);
+    if (asked.length === 0) return;
+    this.noteChange(before, {asked: asked.length});
+    const suspected = this.reach.state;
+    const [responses] = await Promise.all([
+      Promise.all(asked.map(id => this.responds(id))),
+      this.findHelpersIfDue(),
+    ]);
+    const responded = responses.filter(Boolean).length;
+    this.reach.recordCheck(responded, clock.now());
+    this.noteChange(suspected, {asked: asked.length, responded});
+  }
+
+  private noteChange(before: ReachState, counts: LogFields): void {
+    const {log, clock} = this.context;
+    const {state} = this.reach;
+    if (before === state) return;
+    const afterMs = Math.round(clock.now() - this.suspectedAt);
+    switch (state) {
+      case ReachState.Suspected:
+        this.suspectedAt = clock.now();
+        log.dependency('servers_suspected', counts);
+        return;
+      case ReachState.CutOff:
+        log.dependency('servers_cut_off', {...counts, afterMs});
+        this.notifyUnreachable();
+        return;
+      case ReachState.Reached: {
+        const kind =
+          before === ReachState.CutOff
+            ? 'servers_reached'
+            : 'servers_suspicion_ended';
+        log.dependency(kind, {...counts, afterMs});
+        this.helpers.clear();
+        this.askedAt = -Infinity;
+        this.helpersAsked = false;
+        return;
       }
-      if (responded > 0 && !this.reach.isCutOff) this.suspectedAt = undefined;
+      default:
+        state satisfies never;
     }
-    const isDue = clock.now() - this.askedAt >= ASK_INTERVAL_MS;
-    if (this.reach.isCutOff && isDue) await this.findHelpers();
+  }
+
+  private notifyUnreachable(): void {
+    this.listeners.forEach(listener => listener());
   }
 
   private async responds(id: string): Promise<boolean> {
@@ -124,23 +216,43 @@
   }
 
   /** Asks instances of other failure domains first: the own one may be cut off whole. */
-  private async findHelpers(): Promise<void> {
-    const {self, instances, checkServing, clock, log} = this.context;
-    this.askedAt = clock.now();
+  private async findHelpersIfDue(): Promise<void> {
+    const {self, instances, clock, log} = this.context;
+    if (clock.now() - this.askedAt < ASK_INTERVAL_MS) return;
     const others = this.shuffled(instances().filter(({id}) => id !== self.id));
+    if (others.length === 0) return;
+    this.askedAt = clock.now();
     const isNear = ({failureDomain}: InstanceEntry) =>
       failureDomain === self.failureDomain;
     const asked = [
       ...others.filter(instance => !isNear(instance)),
       ...others.filter(isNear),
     ].slice(0, MAX_ASKED);
-    const answers = await Promise.all(asked.map(checkServing));
-    const before = this.helpers.length;
-    this.helpers = answers.flatMap(address => address ?? []);
-    if (before !== this.helpers.length) {
-      const fields = {asked: asked.length, serving: this.helpers.length};
-      log.stateChange('serving_instances', fields);
+    const before = this.helpers.size;
+    const known = new Set(asked.map(({id}) => id));
+    [...this.helpers.keys()]
+      .filter(id => !known.has(id))
+      .forEach(id => this.helpers.delete(id));
+    await Promise.all(asked.map(instance => this.ask(instance)));
+    this.helpersAsked = true;
+    const serving = this.helpers.size;
+    if (before !== serving) {
+      log.stateChange('serving_instances', {asked: asked.length, serving});
+    }
+  }
+
+  /** Asks one instance; what it says counts at once. */
+  private async ask(instance: InstanceEntry): Promise<void> {
+    const {checkServing} = this.context;
+    const address = await checkServing(instance);
+    if (address === undefined) {
+      this.helpers.delete(instance.id);
+      return;
     }
+    const isFirst = this.helpers.size === 0;
+    const isNear = instance.failureDomain === this.context.self.failureDomain;
+    this.helpers.set(instance.id, {address, isNear, takesRelays: true});
+    if (isFirst && this.isSilent) this.notifyUnreachable();
   }
 
   private shuffled(
--- a/packages/gateway/src/instance/registry_sink.ts
+++ b/packages/gateway/src/instance/registry_sink.ts
@@ -29,6 +29,7 @@
     private readonly backendClient: BackendClient,
     private readonly clock: Clock,
     private readonly log: GatewayLog,
+    private readonly onServerAdded: () => void,
   ) {}
 
   replace(rows: readonly DecodedRow<ServerEntry>[], now: number): void {
@@ -90,7 +91,9 @@
       case 'value': {
         const {value} = row;
         this.lapsed.entryReturned(row.key);
+        const isNew = !this.deployment.server(value.id);
         const outcome = this.deployment.putServer(value, now);
+        if (isNew) this.onServerAdded();
         const {service, state, address, startedAt, sequence} = value;
         this.log.stateChange('server_entry', {
           server: row.key,
--- a/packages/gateway/src/metrics/gateway_metrics.ts
+++ b/packages/gateway/src/metrics/gateway_metrics.ts
@@ -52,6 +52,12 @@
     buckets: LATENCY_BUCKETS_S,
     registers: [this.registry],
   });
+  private readonly relays = new Counter({
+    name: 'ragworthall_relays_total',
+    help: 'Requests passed on to other instances, by result',
+    labelNames: ['result'],
+    registers: [this.registry],
+  });
   private readonly storeCalls = new Counter({
     name: 'ragworthall_store_calls_total',
     help: 'Calls to the platform’s store, by table and result',
@@ -112,6 +118,11 @@
     this.sendSeconds.observe({result}, ms / MS_PER_S);
   }
 
+  /** Counts a request that was passed on to another instance. */
+  relayEnded(result: string): void {
+    this.relays.inc({result});
+  }
+
   /** Counts a call to the store. */
   storeCalled(table: string, result: string): void {
     this.storeCalls.inc({table, result});
--- a/packages/gateway/src/request/arrival_check.ts
+++ b/packages/gateway/src/request/arrival_check.ts
@@ -1,4 +1,4 @@
-/** Refuses requests that other instances can serve and this one cannot. */
+/** Refuses requests that this instance will not serve, as soon as they arrive. */
 import type {Route, SharedService} from '@ragworthall/balancer';
 import {
   type CallerRequest,
@@ -8,12 +8,12 @@
 import type {RunContext} from './run_context.js';
 
 /** Delay after which a caller that is to go elsewhere may do so, milliseconds. */
-const ELSEWHERE_RETRY_MS = 20;
+export const ELSEWHERE_RETRY_MS = 20;
 
 /** Returns the refusal of a request on its arrival; undefined if it is taken. */
 export function refusalOnArrival(
-  {stopPlan, reach}: RunContext,
-  {arrivedAt, timeoutMs}: CallerRequest,
+  {stopPlan, deployment}: RunContext,
+  {arrivedAt, timeoutMs, relay}: CallerRequest,
   route: Route,
   service: SharedService,
   now: number,
@@ -23,7 +23,10 @@
   if (stopPlan()?.takes({endsAt, usualMs}, now) === false) {
     return refusedElsewhere(Failure.Stopping);
   }
-  return reach.reachesNothing ? refusedElsewhere(Failure.CutOff) : undefined;
+  const version = deployment.routes?.configuration.version;
+  return relay && relay.configuration !== version
+    ? refusedElsewhere(Failure.OtherConfiguration)
+    : undefined;
 }
 
 function refusedElsewhere(reason: Failure): RequestEnd {
--- a/packages/gateway/src/request/caller_request.ts
+++ b/packages/gateway/src/request/caller_request.ts
@@ -1,5 +1,6 @@
 /** A caller's request and the ways in which it can end. */
 import type {ServerAnswer} from '../backend_server/send_result.js';
+import type {RelayTerms} from '../peer/relay_header.js';
 
 /** A request that was read completely from its connection. */
 export interface CallerRequest {
@@ -18,6 +19,8 @@
   readonly timeoutMs: number;
   /** Aborted when the caller has disconnected. */
   readonly callerGone: AbortSignal;
+  /** Set if another instance has passed the request on to this one. */
+  readonly relay: RelayTerms | undefined;
 }
 
 /** First status code of the server error class. */
@@ -29,6 +32,8 @@
   Starting: 'starting',
   /** This instance reaches no server; others do. */
   CutOff: 'cut_off',
+  /** Another instance passed it on that has another configuration. */
+  OtherConfiguration: 'other_configuration',
   /** This instance stops before the request would end. */
   Stopping: 'stopping',
   NoRoute: 'no_route',
--- a/packages/gateway/src/request/request_queue.ts
+++ b/packages/gateway/src/request/request_queue.ts
@@ -26,7 +26,9 @@
 export type QueueResult =
   /** The request is counted as in flight at the server. */
   | {readonly kind: 'placed'; readonly candidate: Candidate}
-  | {readonly kind: 'dropped'; readonly why: DropReason};
+  | {readonly kind: 'dropped'; readonly why: DropReason}
+  /** It need not wait here: the servers may be out of reach. */
+  | {readonly kind: 'released'};
 
 /** A request that waits for a server. */
 class QueuedRequest implements WaitingRequest {
@@ -95,6 +97,11 @@
     this.wake();
   }
 
+  /** Ends the wait of all requests, which may be served elsewhere. */
+  release(): void {
+    this.requests.splice(0).forEach(({resolve}) => resolve({kind: 'released'}));
+  }
+
   /** Ends the requests that wait after an error, as not placed. */
   private fail(err: unknown): void {
     this.running = false;
@@ -186,4 +193,9 @@
     this.queues.set(service, queue);
     return queue;
   }
+
+  /** Ends the wait of all requests, which may be served elsewhere. */
+  release(): void {
+    this.queues.forEach(queue => queue.release());
+  }
 }
--- a/packages/gateway/src/request/request_run.ts
+++ b/packages/gateway/src/request/request_run.ts
@@ -1,32 +1,33 @@
-/** Handles one request: matches a route, finds a server, sends and retries. */
+/** Runs one request: finds a server, sends and retries. */
 import {
   adviseHedge,
   type Candidate,
   drainTimeMs,
   DropReason,
   type HedgeAdvice,
-  checkLater,
-  type MatchedRoute,
   NEVER_ABORTED,
   type Route,
   type PlacementRequest,
+  type RelayAdvice,
   retryDelayMs,
   type SharedServer,
   type SharedService,
 } from '@ragworthall/balancer';
-import type {SendResult, ServerAnswer} from '../backend_server/send_result.js';
+import type {SendResult} from '../backend_server/send_result.js';
 import type {ContentRun} from '../content/content_run.js';
 import type {RequestLog} from '../log/request_log.js';
-import {refusalOnArrival} from './arrival_check.js';
 import {
   type CallerRequest,
   Failure,
   type RequestEnd,
   SERVER_ERROR,
 } from './caller_request.js';
-import {firstDefined, orTimeout} from './promise_race.js';
+import {startHedgeIfSlow} from './hedge_watch.js';
+import {firstDefined} from './promise_race.js';
+import {RelayRun} from './relay_run.js';
+import {RequestProgress, unknown} from './request_progress.js';
 import type {RequestQueue} from './request_queue.js';
-import {reportEnd, roundToHundredths} from './request_report.js';
+import {roundToHundredths} from './request_report.js';
 import type {RunContext} from './run_context.js';
 import {recordSend} from './send_record.js';
 
@@ -34,50 +35,10 @@
 const MIN_LEFT_MS = 10;
 /** Time for which an answer is awaited after the deadline, milliseconds. */
 const ANSWER_MARGIN_MS = 60;
-/** Delay after which a caller refused by a starting instance may retry, milliseconds. */
-const STARTING_RETRY_MS = 150;
 /** Longest idle time of a connection that is reused for a non-idempotent request, milliseconds. */
 const NON_IDEMPOTENT_IDLE_MS = 2_000;
 /** Longest idle time of a connection that is reused for an idempotent request, milliseconds. */
 const IDEMPOTENT_IDLE_MS = 8_000;
-/** Maximum sends that fail before their first byte; they do not count as attempts. */
-const MAX_UNSENT = 3;
-
-/** Handles one request until it is answered or has failed. */
-export async function runRequest(
-  context: RunContext,
-  request: CallerRequest,
-): Promise<RequestEnd> {
-  const {deployment} = context;
-  const {routes} = deployment;
-  const matched = routes?.match(request.host, request.target);
-  const requestLog = context.log.request(request.id);
-  const end = deployment.isKnown
-    ? await runMatched(context, request, matched, requestLog)
-    : {
-        kind: 'refused' as const,
-        reason: Failure.Starting,
-        retryAfterMs: STARTING_RETRY_MS,
-      };
-  reportEnd(context, request, matched, end, requestLog);
-  return end;
-}
-
-async function runMatched(
-  context: RunContext,
-  request: CallerRequest,
-  matched: MatchedRoute | undefined,
-  requestLog: RequestLog,
-): Promise<RequestEnd> {
-  if (!matched) return {kind: 'no_route'};
-  const {route, split} = matched;
-  const service = context.deployment.service(split.next());
-  const now = context.clock.now();
-  const refusal = refusalOnArrival(context, request, route, service, now);
-  if (refusal) return refusal;
-  service.budget.recordRequest(now);
-  return new RequestRun(context, request, route, service, requestLog).run();
-}
 
 /** A hedge that was sent. The object keeps `await` from waiting for its end. */
 interface HedgeSend {
@@ -85,15 +46,9 @@
 }
 
 /** One request and its attempts on backend servers. */
-class RequestRun {
-  private readonly triedServers = new Set<string>();
-  private readonly deadline: number;
-  private sends = 0;
-  private unsent = 0;
-  /** Whether a server may have run the request. */
-  private mayHaveRun = false;
-  /** The latest server error; passed on if no attempt gets a better answer. */
-  private serverError: ServerAnswer | undefined;
+export class RequestRun {
+  private readonly progress: RequestProgress;
+  private readonly relay: RelayRun;
 
   constructor(
     private readonly context: RunContext,
@@ -102,17 +57,34 @@
     private readonly service: SharedService,
     private readonly requestLog: RequestLog,
   ) {
-    const {arrivedAt, timeoutMs} = request;
-    this.deadline = arrivedAt + Math.min(timeoutMs, route.timeoutMs);
+    this.progress = new RequestProgress(request, route);
+    this.relay = new RelayRun(
+      context,
+      request,
+      route,
+      this.progress,
+      requestLog,
+    );
   }
 
   async run(): Promise<RequestEnd> {
     for (;;) {
-      const end = await this.runOnce();
+      const end = await this.runBy(this.relay.advice);
       if (end) return end;
-      const exhausted =
-        this.sends >= this.route.maxAttempts || this.unsent > MAX_UNSENT;
-      if (exhausted) return this.giveUp(Failure.Shed);
+      if (this.progress.isExhausted) return this.giveUp(Failure.Shed);
+    }
+  }
+
+  private async runBy(advice: RelayAdvice): Promise<RequestEnd | undefined> {
+    switch (advice.kind) {
+      case 'stay':
+        return await this.runOnce();
+      case 'relay':
+        return this.refusalBeforeSend() ?? (await this.relay.send());
+      case 'refuse':
+        return this.relay.refuse();
+      default:
+        return advice satisfies never;
     }
   }
 
@@ -120,7 +92,7 @@
   private async runOnce(): Promise<RequestEnd | undefined> {
     const permission = await this.context.contentGuard.waitForPermission(
       this.request,
-      () => this.deadline - this.context.clock.now() - this.expectedMs,
+      () => this.progress.deadline - this.context.clock.now() - this.expectedMs,
     );
     switch (permission.kind) {
       case 'granted':
@@ -139,7 +111,16 @@
       this.placement,
       this.request.callerGone,
     );
-    if (found.kind === 'dropped') return this.dropped(found.why);
+    switch (found.kind) {
+      case 'placed':
+        break;
+      case 'dropped':
+        return this.dropped(found.why);
+      case 'released':
+        return undefined;
+      default:
+        return found satisfies never;
+    }
     const {candidate} = found;
     // After a pause the choice may rest on what has changed meanwhile.
     const settled = this.context.clock.settled();
@@ -174,8 +155,10 @@
   private refusalBeforeSend(): RequestEnd | undefined {
     const now = this.context.clock.now();
     if (this.request.callerGone.aborted) return {kind: 'abandoned'};
-    if (this.deadline - now < MIN_LEFT_MS) return this.giveUp(Failure.Expired);
-    if (this.sends === 0 || this.service.budget.trySpend(now)) return undefined;
+    if (this.progress.deadline - now < MIN_LEFT_MS)
+      return this.giveUp(Failure.Expired);
+    if (this.progress.sends === 0 || this.service.budget.trySpend(now))
+      return undefined;
     return this.giveUp(Failure.Shed);
   }
 
@@ -184,7 +167,8 @@
   }
 
   private get placement(): PlacementRequest {
-    const {route, deadline, triedServers} = this;
+    const {route} = this;
+    const {deadline, triedServers} = this.progress;
     return {
       route,
       arrivedAt: this.request.arrivedAt,
@@ -199,49 +183,28 @@
     contentRun: ContentRun,
   ): Promise<RequestEnd | undefined> {
     const first = this.send(found, contentRun);
-    const {idempotent, maxAttempts} = this.route;
-    const mayHedge = idempotent && !contentRun.isExclusive;
+    const mayHedge = this.route.idempotent && !contentRun.isExclusive;
     // Awaited, since the run ends with the last send.
-    if (!mayHedge || this.sends >= maxAttempts) return await first;
+    if (!mayHedge || this.progress.attemptsLeft <= 0) return await first;
     const second = await this.hedgeIfSlow(found.server, first, contentRun);
     return await (second ? firstDefined([first, second.end]) : first);
   }
 
   /** Watches a send; returns the hedge if one was sent. */
-  private async hedgeIfSlow(
+  private hedgeIfSlow(
     server: SharedServer,
     first: Promise<RequestEnd | undefined>,
     contentRun: ContentRun,
   ): Promise<HedgeSend | undefined> {
-    const {clock, prober} = this.context;
+    const {clock, prober, reach} = this.context;
     const sentAt = clock.now();
-    const ended = first.then(() => 'ended' as const);
-    let advice = this.advise(server, sentAt);
-    while (advice.kind !== 'none') {
-      switch (advice.kind) {
-        case 'recheck':
-          if ((await orTimeout(ended, advice.ms)) === 'ended') return undefined;
-          advice = this.advise(server, sentAt);
-          break;
-        case 'ask': {
-          const probe = prober.probe(this.service, server);
-          const winner = probe && (await Promise.race([ended, probe]));
-          if (winner === 'ended') return undefined;
-          advice = this.advise(server, sentAt);
-          if (advice.kind === 'ask') advice = checkLater(this.expectedMs);
-          break;
-        }
-        case 'hedge': {
-          const second = await this.sendHedge(contentRun);
-          if (second) return second;
-          advice = checkLater(this.expectedMs);
-          break;
-        }
-        default:
-          advice satisfies never;
-      }
-    }
-    return undefined;
+    return startHedgeIfSlow(first, {
+      advise: () => this.advise(server, sentAt),
+      ask: () => prober.probe(this.service, server),
+      start: () => this.sendHedge(contentRun),
+      baselineMs: () => this.expectedMs,
+      onChange: wake => reach.onUnreachable(wake),
+    });
   }
 
   private advise(server: SharedServer, sentAt: number): HedgeAdvice {
@@ -251,27 +214,38 @@
       targetMs: this.route.targetMs,
       sinceArrivalMs: now - this.request.arrivedAt,
       sinceSendMs: now - sentAt,
-      timeLeftMs: this.deadline - now,
+      timeLeftMs: this.progress.deadline - now,
     };
-    return adviseHedge(pending, server.recentSlowness(now));
+    const advice = adviseHedge(pending, server.recentSlowness(now));
+    const isOutOfReach =
+      advice.kind !== 'none' && this.relay.advice.kind === 'relay';
+    return isOutOfReach ? {kind: 'hedge'} : advice;
   }
 
   private get expectedMs(): number {
     return this.service.baselineMs(this.route);
   }
 
-  /** Sends the request to a second server if one is known to be good. */
+  /**
+   * Sends the request to a second server if one is known to be good; if none is in
+   * reach, to another instance.
+   */
   private async sendHedge(
     contentRun: ContentRun,
   ): Promise<HedgeSend | undefined> {
     const {context, request, service} = this;
     if (request.callerGone.aborted) return undefined;
     if (service.budget.remaining(context.clock.now()) < 1) return undefined;
+    if (this.relay.advice.kind === 'relay') {
+      const isPaid = service.budget.trySpend(context.clock.now());
+      return isPaid ? {end: this.relay.send()} : undefined;
+    }
     const candidate = await this.queue.findNow(this.placement);
     if (!candidate) return undefined;
     const now = context.clock.now();
     const isUseful =
-      this.deadline - now >= MIN_LEFT_MS && !request.callerGone.aborted;
+      this.progress.deadline - now >= MIN_LEFT_MS &&
+      !request.callerGone.aborted;
     if (!isUseful || !service.budget.trySpend(now)) {
       candidate.server.recordEnd();
       return undefined;
@@ -286,18 +260,18 @@
   ): Promise<RequestEnd | undefined> {
     const {context, request, route, service} = this;
     const startedAt = context.clock.now();
-    const timeLeftMs = this.deadline - startedAt;
+    const timeLeftMs = this.progress.deadline - startedAt;
     this.requestLog.add('sent', {
       route: route.name,
       server: server.entry.id,
       cost: roundToHundredths(cost),
       load: roundToHundredths(server.loadAt(startedAt)),
       reportAgeMs: Math.round(server.reportAge(startedAt)),
-      attempt: this.sends + 1,
+      attempt: this.progress.sends + 1,
       timeLeftMs: Math.round(timeLeftMs),
     });
-    this.sends += 1;
-    this.triedServers.add(server.entry.id);
+    this.progress.sends += 1;
+    this.progress.triedServers.add(server.entry.id);
     const result = await context.backendClient.send(server, {
       id: request.id,
       request,
@@ -346,19 +320,19 @@
     switch (result.kind) {
       case 'answered':
         if (!idempotent || result.answer.status < SERVER_ERROR) return result;
-        this.serverError = result.answer;
+        this.progress.serverError = result.answer;
         return undefined;
       case 'not_run':
         return undefined;
       case 'not_sent':
-        this.unsent += 1;
-        this.sends -= 1;
+        this.progress.unsent += 1;
+        this.progress.sends -= 1;
         return undefined;
       case 'lost':
-        this.mayHaveRun = true;
+        this.progress.mayHaveRun = true;
         return idempotent ? undefined : unknown(Failure.Lost);
       case 'late':
-        this.mayHaveRun = true;
+        this.progress.mayHaveRun = true;
         return unknown(Failure.Late);
       case 'abandoned':
         return result;
@@ -371,9 +345,7 @@
     reason: Failure,
     retryAfterMs = this.retryDelayMs(),
   ): RequestEnd {
-    if (this.serverError) return {kind: 'answered', answer: this.serverError};
-    if (this.mayHaveRun) return unknown(Failure.Lost);
-    return {kind: 'refused', reason, retryAfterMs};
+    return this.progress.endWithout(reason, retryAfterMs);
   }
 
   /** Delay after which the caller may retry, milliseconds. */
@@ -386,12 +358,8 @@
       baselineMs,
     });
     const now = context.clock.now();
-    const timeLeftMs = this.deadline - now;
+    const timeLeftMs = this.progress.deadline - now;
     const waitMs = Math.max(drainMs, service.untilOpenMs(now));
     return retryDelayMs({timeLeftMs, baselineMs, waitMs}, context.random);
   }
 }
-
-function unknown(reason: Failure): RequestEnd {
-  return {kind: 'unknown', reason};
-}
--- a/packages/gateway/src/request/send_record.ts
+++ b/packages/gateway/src/request/send_record.ts
@@ -46,6 +46,9 @@
       reach.recordFailure(server);
       return;
     case 'lost':
+      server.recordFailure(now);
+      if (result.brokeOff) reach.recordFailure(server);
+      return;
     case 'late':
       server.recordFailure(now);
       return;
