Learn from relayed answers that their server is leaving

What callers saw: nothing yet; DRAIN in waiting. An instance that was cut off passed on answers of a server that said it was leaving, and sent that server requests of its own once its links were back.

Cause: statements were read only from answers to an instance's own sends.

Change: a relayed answer names its server, and what it states is recorded where it is passed on, too.

Evidence: lasting_statements.test.ts failed before: the statement was never recorded.

--- a/packages/gateway/src/instance/gateway.ts
+++ b/packages/gateway/src/instance/gateway.ts
@@ -8,6 +8,7 @@
   SeededRandom,
   type RepeatBudgetLimits,
   type ServerEntry,
+  StatementSource,
   StopPlan,
 } from '@ragworthall/balancer';
 import {setTimeout as delay} from 'node:timers/promises';
@@ -142,7 +143,13 @@
     this.backendClient = new BackendClient(wire, memory, (server, message) =>
       statements.record(server, message),
     );
-    this.relayClient = new RelayClient(wire, memory, () => undefined);
+    this.relayClient = new RelayClient(wire, memory, (id, head) => {
+      const server = this.deployment.server(id);
+      if (!server) return;
+      const source = StatementSource.Answer;
+      const parsed = wire.parseStatements(head, Date.now());
+      statements.record(server, {source, ...parsed});
+    });
     const probeRateLimiter = new ProbeRateLimiter(() => ({
       perServerPerS: options.probesPerServerPerS,
       servers: this.deployment.serversTakingWork,
