Keep what a server said of itself when its entry lapses and returns

What callers saw: nothing.

Cause: rest and limit were kept with the registry entry, and an entry that returns made a new server. Only leaving was remembered. Class: knowledge of a process that is tied to the life of its record.

Change: the Backpressure of a process is kept with what is remembered of servers that left, and taken up again by an entry of the same start.

--- a/packages/balancer/src/backend_server/backpressure.ts
+++ b/packages/balancer/src/backend_server/backpressure.ts
@@ -65,11 +65,6 @@
     return [...changes, ...this.endLimit()];
   }
 
-  /** Marks the server as leaving, since this process of it has said so before. */
-  markLeaving(): void {
-    this.leaving = true;
-  }
-
   /** Records that a request is sent. */
   recordSend(now: number): void {
     this.lastSendAt = now;
--- a/packages/balancer/src/backend_server/shared_server.ts
+++ b/packages/balancer/src/backend_server/shared_server.ts
@@ -4,7 +4,7 @@
  * which are out of date within a fraction of a second.
  */
 
-import {type ShareOfLimit, Backpressure, WHOLE_LIMIT} from './backpressure.js';
+import {Backpressure, WHOLE_LIMIT} from './backpressure.js';
 
 /** Whether a backend server accepts new requests, according to the registry. */
 export const EntryState = {
@@ -89,8 +89,6 @@
   isLoadQueryPending = false;
   /** Number of its responses of any kind. */
   responses = 0;
-  /** What it states of itself. */
-  readonly backpressure: Backpressure;
   private report: LoadReport | undefined;
   /** Send times of requests that the latest report does not include. */
   private unreportedSends: number[] = [];
@@ -105,9 +103,9 @@
   constructor(
     public entry: ServerEntry,
     now: number,
-    shareOfLimit: ShareOfLimit = WHOLE_LIMIT,
+    /** What it states of itself. */
+    readonly backpressure = new Backpressure(WHOLE_LIMIT),
   ) {
-    this.backpressure = new Backpressure(shareOfLimit);
     this.warmUpEndsAt = now + entry.warmUpMs;
   }
 
--- a/packages/balancer/src/instance/deployment.test.ts
+++ b/packages/balancer/src/instance/deployment.test.ts
@@ -1,6 +1,7 @@
 /** Tests of a deployment whose updates arrive late, twice or not at all. */
 import test from 'ava';
 import {serverEntry} from '../backend_server/server_entry.test_support.js';
+import {answerStating} from '../backend_server/server_statement.test_support.js';
 import {EntryState} from '../backend_server/shared_server.js';
 import {SeededRandom} from '../link/random.js';
 import type {RoutingConfiguration} from '../route/route.js';
@@ -88,7 +89,9 @@
 test('a server that announced its leaving is not used again until it has restarted', t => {
   const deployment = createDeployment();
   deployment.putServer(serverEntry({startedAt: 5}), NOW);
-  deployment.server('x')!.backpressure.markLeaving();
+  deployment
+    .server('x')!
+    .backpressure.record(answerStating({kind: 'leaving'}), NOW);
   deployment.putServer(serverEntry({startedAt: 5, sequence: 9}), NOW);
   t.is(deployment.serversTakingWork, 0);
   // Its entry lapses in an outage of the store and comes back as it was.
@@ -117,3 +120,21 @@
   deployment.putServer({...left, sequence: 5}, NOW);
   t.false(deployment.hasLeft(left));
 });
+
+test('what a process has said holds when its entry lapses and returns, and ends with it', t => {
+  const deployment = createDeployment();
+  deployment.putServer(serverEntry({startedAt: 5}), NOW);
+  const message = answerStating(
+    {kind: 'rest', ms: 3_000},
+    {kind: 'limit', perS: 2},
+  );
+  deployment.server('x')!.backpressure.record(message, NOW);
+  deployment.removeServer('x');
+  deployment.putServer(serverEntry({startedAt: 5, sequence: 2}), NOW);
+  const {backpressure} = deployment.server('x')!;
+  t.true(backpressure.wantsNothing(NOW + 2_999));
+  t.false(backpressure.wantsNothing(NOW + 3_000));
+  t.true(backpressure.isLimited);
+  deployment.putServer(serverEntry({startedAt: 6}), NOW);
+  t.false(deployment.server('x')!.backpressure.wantsNothing(NOW));
+});
--- a/packages/balancer/src/instance/deployment.ts
+++ b/packages/balancer/src/instance/deployment.ts
@@ -2,6 +2,7 @@
  * One instance's view of the deployment: the configuration in force and the
  * backend servers in the registry. Updates may arrive late, twice or never.
  */
+import {Backpressure} from '../backend_server/backpressure.js';
 import {
   isAtLeastAsRecent,
   type ServerEntry,
@@ -35,8 +36,8 @@
 interface LeftServer {
   readonly startedAt: number;
   readonly sequence: number;
-  /** Whether it stated itself that it leaves. */
-  readonly saidSo: boolean;
+  /** What it had said of itself. */
+  readonly backpressure: Backpressure;
 }
 
 /** Result of an update to the deployment. */
@@ -210,24 +211,27 @@
   }
 
   private addServer(entry: ServerEntry, now: number): UpdateOutcome {
-    const {limitShares} = this.options;
-    const server = new SharedServer(entry, now, perS =>
-      limitShares.shareOf(entry.id, perS),
-    );
-    const left = this.left.get(entry.id);
-    if (left?.saidSo && left.startedAt === entry.startedAt)
-      server.backpressure.markLeaving();
-    else this.left.delete(entry.id);
+    const server = new SharedServer(entry, now, this.backpressureOf(entry));
     this.servers.set(entry.id, server);
     this.service(entry.service).put(server);
     return UpdateOutcome.Taken;
   }
 
+  /** What the process of an entry has said of itself, also before its entry lapsed. */
+  private backpressureOf({id, startedAt}: ServerEntry): Backpressure {
+    const {limitShares} = this.options;
+    const left = this.left.get(id);
+    const isSameProcess = left?.startedAt === startedAt;
+    if (!isSameProcess || !left.backpressure.isLeaving) this.left.delete(id);
+    if (isSameProcess) return left.backpressure;
+    return new Backpressure(perS => limitShares.shareOf(id, perS));
+  }
+
   private rememberLeft({entry, backpressure}: SharedServer): void {
     const {id, startedAt, sequence} = entry;
     // Insertion order: the one that left first is forgotten first.
     this.left.delete(id);
-    this.left.set(id, {startedAt, sequence, saidSo: backpressure.isLeaving});
+    this.left.set(id, {startedAt, sequence, backpressure});
     const oldest = this.left.keys().next();
     if (this.left.size > MAX_LEFT && !oldest.done)
       this.left.delete(oldest.value);
--- a/packages/balancer/src/service/server_snapshot.test.ts
+++ b/packages/balancer/src/service/server_snapshot.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import {serverEntry} from '../backend_server/server_entry.test_support.js';
+import {answerStating} from '../backend_server/server_statement.test_support.js';
 import {SharedServer} from '../backend_server/shared_server.js';
 import {ServerSnapshot} from './server_snapshot.js';
 
@@ -60,7 +61,7 @@
 test('a server that is not to be sent another request now is left out', t => {
   const servers = ['x', 'y'].map(serverOf);
   const {snapshot} = snapshotOf(servers);
-  servers[0]!.backpressure.markLeaving();
+  servers[0]!.backpressure.record(answerStating({kind: 'leaving'}), 0);
   snapshot.refresh(servers[0]!, 0);
   t.deepEqual(
     snapshot.candidates(NONE).map(c => c.server.entry.id),
