Drop a server that left during a silent cut from the store within three seconds

Cause, traced: the first answer comes up to 0.95 s after the return (a call into silence, 0.8 s, and the delay before the next, 0.15 s), and the entries that are missing were kept for 2.3 s from that answer, however long the return had been unnoticed.

Change: they are kept until 2.9 s after the start of the last call that was not answered, at the latest: the return is not before that.

--- a/packages/balancer/src/instance/deployment.test.ts
+++ b/packages/balancer/src/instance/deployment.test.ts
@@ -77,7 +77,7 @@
 test('servers whose entries expire around an outage are kept for a while', t => {
   const lapsed = new LapsedServers();
   t.false(lapsed.retain('a', NOW));
-  lapsed.registryRecovered(NOW);
+  lapsed.registryRecovered(NOW, NOW);
   t.true(lapsed.retain('a', NOW + 10));
   t.true(lapsed.retain('b', NOW + 20));
   lapsed.entryReturned('a');
--- a/packages/balancer/src/instance/lapsed_servers.ts
+++ b/packages/balancer/src/instance/lapsed_servers.ts
@@ -4,17 +4,27 @@
  * servers reappear soon after the outage, and until then the servers are kept.
  */
 
-/** Time after an outage for which expired entries are kept, milliseconds. */
+/** Time after the first answer for which expired entries are kept, milliseconds. */
 const GRACE_MS = 2_300;
+/**
+ * Time after an outage for which they are kept at most, milliseconds: by 3 s a
+ * server that has left meanwhile gets nothing any more.
+ */
+const MAX_GRACE_MS = 2_900;
 
 /** Servers that are kept although their entries have expired. */
 export class LapsedServers {
   private readonly retained = new Set<string>();
   private graceEndsAt = -Infinity;
 
-  /** Records that the registry answers again. */
-  registryRecovered(now: number): void {
-    this.graceEndsAt = now + GRACE_MS;
+  /**
+   * Records that the registry answers again.
+   *
+   * @param lostAt When the last call began that it did not answer: the outage may
+   *     have ended any time since then, milliseconds.
+   */
+  registryRecovered(now: number, lostAt: number): void {
+    this.graceEndsAt = Math.min(now + GRACE_MS, lostAt + MAX_GRACE_MS);
   }
 
   /** Keeps a server whose entry expired, if `now` is within the grace time. */
--- a/packages/gateway/src/instance/registry_sink.ts
+++ b/packages/gateway/src/instance/registry_sink.ts
@@ -47,7 +47,7 @@
    * have left are from before that; one that stays is renewed by its server.
    */
   replaceRestored(rows: readonly DecodedRow<ServerEntry>[], now: number): void {
-    this.lapsed.registryRecovered(now);
+    this.lapsed.registryRecovered(now, now);
     const outdated = rows.filter(
       row => row.kind === 'value' && this.deployment.hasLeft(row.value),
     );
@@ -76,8 +76,8 @@
     // What is known is served on.
   }
 
-  storeRegained(now: number): void {
-    this.lapsed.registryRecovered(now);
+  storeRegained(now: number, lostAt: number): void {
+    this.lapsed.registryRecovered(now, lostAt);
   }
 
   [Symbol.dispose](): void {
--- a/packages/gateway/src/platform/table_follower.ts
+++ b/packages/gateway/src/platform/table_follower.ts
@@ -26,6 +26,11 @@
  * store either, milliseconds. They tell when it is back.
  */
 const COMMON_OUTAGE_RETRY_MS = 2_500;
+/**
+ * Longest time from the return of the store to the first answer, milliseconds: a
+ * call into silence has to end, and the next one follows.
+ */
+const MAX_NOTICE_MS = 950;
 
 /** Timing of the calls for a table. */
 export interface FollowTiming extends RetryTiming {
@@ -61,8 +66,12 @@
   update(rows: readonly DecodedRow<T>[], now: number): void;
   /** Called when the store does not answer, or refuses. */
   storeLost(): void;
-  /** Called when the store answers again after an outage. */
-  storeRegained(now: number): void;
+  /**
+   * Called when the store answers again after an outage.
+   *
+   * @param lostAt When the last call began that it did not answer, milliseconds.
+   */
+  storeRegained(now: number, lostAt: number): void;
 }
 
 /** Dependencies of a follower. */
@@ -80,6 +89,8 @@
   private failures = 0;
   /** When the latest call of the store began. */
   private calledAt = -Infinity;
+  /** When the latest call began that the store did not answer. */
+  private lostAt = -Infinity;
   /** Whether the latest update of a source was that the store does not answer. */
   private sourcesLostStore = false;
   /** Ends the current call early; replaced after each use. */
@@ -271,7 +282,9 @@
     const known = this.position.current.version;
     metrics.newsReceived(this.table, update.kind);
     this.sourcesLostStore = update.kind === 'no_answer';
-    if (update.kind === 'regained') this.sink.storeRegained(now);
+    if (update.kind === 'regained') {
+      this.sink.storeRegained(now, now - MAX_NOTICE_MS);
+    }
     const action = this.position.recordUpdate(update, now);
     switch (action) {
       case UpdateAction.Apply:
@@ -320,7 +333,9 @@
   private endOutage(now: number): void {
     this.failures = 0;
     this.context.log.dependency('store_regained', {table: this.table});
-    this.sink.storeRegained(now);
+    // An instance that relies on others to notice the return calls rarely.
+    const lostAt = Math.max(this.lostAt, now - MAX_NOTICE_MS);
+    this.sink.storeRegained(now, lostAt);
     this.context.storeWatch.recordReturn();
   }
 
@@ -331,6 +346,7 @@
     if (signal.aborted) return;
     const {exchange, log, metrics} = this.context;
     metrics.storeCalled(this.table, err.kind);
+    this.lostAt = this.calledAt;
     if (this.failures === 0) {
       const {kind: cause, detail} = err;
       log.dependency('store_lost', {table: this.table, cause, detail});
