Leave a server that asked for rest unexamined

A request that breaks off at a server makes the instance ask that server on up to three connections of its own whether it still runs; within a rest that is more than the two that BUDGET allows.

The test of process_examiner.test.ts failed before: the server was asked.

--- a/packages/balancer/src/backend_server/backpressure.ts
+++ b/packages/balancer/src/backend_server/backpressure.ts
@@ -42,7 +42,12 @@
 
   /** Whether the server wants nothing from this instance now, probes included. */
   wantsNothing(now: number): boolean {
-    return this.leaving || now < this.restUntil;
+    return this.leaving || this.isResting(now);
+  }
+
+  /** Whether the server has asked for a time without messages that is not over. */
+  isResting(now: number): boolean {
+    return now < this.restUntil;
   }
 
   /** Time between two requests of this instance, milliseconds; 0 without a limit. */
--- a/packages/gateway/src/content/process_examiner.ts
+++ b/packages/gateway/src/content/process_examiner.ts
@@ -2,7 +2,7 @@
  * Finds out whether a server's process has ended, after an exchange with it broke
  * off: the connection alone may have been lost.
  */
-import type {Deployment, SharedServer} from '@ragworthall/balancer';
+import type {Clock, Deployment, SharedServer} from '@ragworthall/balancer';
 import {
   type BackendClient,
   ProcessState,
@@ -24,6 +24,7 @@
   constructor(
     private readonly deployment: Deployment,
     private readonly backendClient: BackendClient,
+    private readonly clock: Clock,
   ) {}
 
   /** Resolves with what the server shows on connections of its own. Never rejects. */
@@ -47,6 +48,9 @@
     for (const pauseMs of ATTEMPT_PAUSES_MS) {
       if (pauseMs > 0) await delay(pauseMs);
       if (server.responses > responsesBefore) return ProcessState.Running;
+      if (server.backpressure.isResting(this.clock.now())) {
+        return ProcessState.Unknown;
+      }
       const state = await this.backendClient.processState(
         server,
         path,
--- a/packages/gateway/src/instance/gateway.ts
+++ b/packages/gateway/src/instance/gateway.ts
@@ -195,7 +195,7 @@
       relayClient: this.relayClient,
       contentGuard: new ContentGuard(
         this.contents,
-        new ProcessExaminer(this.deployment, this.backendClient),
+        new ProcessExaminer(this.deployment, this.backendClient, clock),
         log,
       ),
       log,
