Cut instances off from all servers in the soak, and check that they serve

A fault of the gateway's soak cuts one to all but one of the instances off from all servers, silent, reset, or refusing new connections, also in series and overlapping with all other faults. Instances under test connect from their own addresses, so that the servers' proxies tell them apart.

The check is the rule's: from three seconds on, callers there are served two thirds as often as elsewhere, or few fail.

--- a/bench/src/gateway/gateway_cluster.ts
+++ b/bench/src/gateway/gateway_cluster.ts
@@ -4,7 +4,10 @@
  */
 import {configuration} from '@ragworthall/platform/dist/testing/entry_test_environment.js';
 import {InstanceProcess} from '@ragworthall/platform/dist/testing/instance_process.js';
-import {LoopbackProxy} from '@ragworthall/platform/dist/testing/loopback_proxy.js';
+import {
+  type LinkMode,
+  LoopbackProxy,
+} from '@ragworthall/platform/dist/testing/loopback_proxy.js';
 import {
   type StoreCopy,
   StoreStandIn,
@@ -57,6 +60,8 @@
   readonly servers: ClusterServer[] = [];
   readonly fatalEnds: FatalEnd[] = [];
   version = 1;
+  /** Links of single instances to all servers, by the instance's address. */
+  private readonly instanceLinks = new Map<string, LinkMode>();
   private readonly timers = new Set<NodeJS.Timeout>();
   /** Servers that are being started in the place of others. */
   private readonly starting = new Set<Promise<void>>();
@@ -104,6 +109,7 @@
       `i-${this.servers.length}`,
     );
     const link = await LoopbackProxy.start(standIn.address);
+    this.instanceLinks.forEach((mode, ip) => link.setClientMode(ip, mode));
     const server: ClusterServer = {standIn, link};
     const onEnd = (request: string) => {
       this.fatalEnds.push({request, at: performance.now()});
@@ -115,6 +121,13 @@
     this.putServerEntry(server);
   }
 
+  /** Sets the links of one instance to all servers; undefined: they are well. */
+  setLinkToServers(ip: string, mode: LinkMode | undefined): void {
+    if (mode) this.instanceLinks.set(ip, mode);
+    else this.instanceLinks.delete(ip);
+    this.serverLinks.forEach(link => link.setClientMode(ip, mode));
+  }
+
   /** Returns the store to a copy; operators and servers write theirs again. */
   restoreStore(copy: StoreCopy): void {
     this.store.restore(copy);
--- a/bench/src/gateway/gateway_fault.ts
+++ b/bench/src/gateway/gateway_fault.ts
@@ -51,6 +51,13 @@
       readonly mood: LinkMode;
       readonly forMs: number;
     }
+  /** The links of some instances to all servers; all else reaches them. */
+  | {
+      readonly kind: 'instances_cut';
+      readonly instances: readonly number[];
+      readonly mood: LinkMode;
+      readonly forMs: number;
+    }
   /** A server starts draining and removes its entry from the store later. */
   | {readonly kind: 'server_leaves'; readonly server: number}
   /** The operator writes the next configuration. */
@@ -81,6 +88,14 @@
   {kind: 'one_way'},
   {kind: 'reset'},
 ];
+const CUT_MODES: readonly LinkMode[] = [
+  {kind: 'silent'},
+  {kind: 'reset'},
+  {kind: 'refuses_new'},
+];
+/** Bounds of the duration of a cut from all servers, milliseconds. */
+const MIN_CUT_MS = 4_000;
+const MAX_CUT_MS = 8_000;
 const SERVER_MODES: readonly BackendServerMode[] = [
   {kind: 'fails'},
   {kind: 'sheds'},
@@ -129,6 +144,8 @@
     {kind: 'server', server, mood: randomElement(rng, SERVER_MODES), forMs},
     {kind: 'server_link', server, mood: randomElement(rng, LINK_MODES), forMs},
     {kind: 'server_leaves', server},
+    drawCut(rng, instances),
+    drawCut(rng, instances),
     {kind: 'configure'},
     {kind: 'configure'},
   ];
@@ -137,6 +154,18 @@
   return randomElement(rng, faults);
 }
 
+/** One to all but one of the instances. */
+function drawCut(rng: RandomGenerator, instances: number): GatewayFault {
+  const first = randomInt(rng, instances);
+  const count = 1 + randomInt(rng, instances - 1);
+  return {
+    kind: 'instances_cut',
+    instances: Array.from({length: count}, (_, i) => (first + i) % instances),
+    mood: randomElement(rng, CUT_MODES),
+    forMs: randomBetween(rng, MIN_CUT_MS, MAX_CUT_MS),
+  };
+}
+
 function randomElement<T>(rng: RandomGenerator, items: readonly T[]): T {
   return items[randomInt(rng, items.length)]!;
 }
--- a/bench/src/gateway/gateway_injector.ts
+++ b/bench/src/gateway/gateway_injector.ts
@@ -1,7 +1,11 @@
 /** Injects the scheduled faults into a gateway cluster and ends them. */
 import {setTimeout as delay} from 'node:timers/promises';
 import type {EventLog} from '../history/event_log.js';
-import type {AcceptedChange, PlannedStop} from '../history/history.js';
+import type {
+  AcceptedChange,
+  InstanceCut,
+  PlannedStop,
+} from '../history/history.js';
 import {type GatewayCaller, REQUEST_KINDS} from './gateway_caller.js';
 import {
   type ClusterInstance,
@@ -10,6 +14,7 @@
   START_TIMEOUT_MS,
 } from './gateway_cluster.js';
 import type {GatewayFault} from './gateway_fault.js';
+import type {LinkMode} from '@ragworthall/platform/dist/testing/loopback_proxy.js';
 import type {DisturbanceLog} from './disturbance_log.js';
 
 /**
@@ -26,6 +31,7 @@
 export class GatewayInjector {
   readonly stops: PlannedStop[] = [];
   readonly accepted: AcceptedChange[] = [];
+  readonly cuts: InstanceCut[] = [];
   private readonly activeFaults = new Set<Promise<void>>();
   /** Instances with an exclusive fault (kill, pause or stop) in progress. */
   private readonly faultedInstances = new Set<string>();
@@ -119,6 +125,8 @@
         link.resetAll();
         return;
       }
+      case 'instances_cut':
+        return this.cutInstances(fault.instances, fault.mood, fault.forMs);
       case 'server_leaves':
         return this.replaceServer(fault.server);
       case 'configure': {
@@ -132,6 +140,24 @@
     }
   }
 
+  /** Cuts instances off from all servers, also from those that are added meanwhile. */
+  private async cutInstances(
+    indexes: readonly number[],
+    mode: LinkMode,
+    forMs: number,
+  ): Promise<void> {
+    const {cluster} = this;
+    const cut = indexes.map(i => cluster.instances[i]!.process);
+    const from = performance.now();
+    cut.forEach(({identity}) => cluster.setLinkToServers(identity.ip, mode));
+    await delay(forMs);
+    cut.forEach(({identity}) =>
+      cluster.setLinkToServers(identity.ip, undefined),
+    );
+    const urls = cut.map(({callersUrl}) => callersUrl);
+    this.cuts.push({urls, from, to: performance.now()});
+  }
+
   /** Sends the content to one instance after the other. */
   private async sendFatalContent(forMs: number): Promise<void> {
     const sends = Array.from(
--- a/bench/src/gateway/gateway_run.ts
+++ b/bench/src/gateway/gateway_run.ts
@@ -103,6 +103,8 @@
     accepted: injector.accepted,
     revisions,
     stops: injector.stops,
+    cuts: injector.cuts,
+    isStable: stabilityOf(cluster, disturbances),
     fatalEnds: fatalEndsOf(cluster, caller, disturbances),
     hadFaults: true,
     inForceLimitMs: IN_FORCE_LIMIT_MS,
@@ -189,6 +191,17 @@
   return request => ids.get(urls.get(request) ?? '');
 }
 
+/** Whether the instance with an URL for callers was undisturbed. */
+function stabilityOf(
+  {instances}: GatewayCluster,
+  log: DisturbanceLog,
+): (url: string, from: number, to: number) => boolean {
+  const ids = new Map(
+    instances.map(({process}) => [process.callersUrl, process.identity.id]),
+  );
+  return (url, from, to) => log.isStable(ids.get(url) ?? url, from, to);
+}
+
 /** The ends of servers under a content, in the order of their time. */
 function fatalEndsOf(
   cluster: GatewayCluster,
--- a/bench/src/history/guarantees.test.ts
+++ b/bench/src/history/guarantees.test.ts
@@ -33,6 +33,13 @@
   return {work, id, ...times, sends: copies.length, copies, ending};
 }
 
+/** An answered request at another instance. */
+function atOther(id: string): Observation {
+  const observation = observationOf(id, ANSWERED);
+  const copies = observation.copies.map(c => ({...c, url: 'http://e2'}));
+  return {...observation, copies};
+}
+
 const ANSWERED: Ending = {kind: 'answered', status: 200, server: 's1'};
 const WRONG: Ending = {kind: 'wrong_answer', detail: 'cut'};
 const NOT_RUN: Ending = {
@@ -76,6 +83,7 @@
     observationOf('a', ANSWERED),
     observationOf('b', NOT_RUN),
     observationOf('c', ANSWERED, LESSON, [NOT_RUN]),
+    atOther('d'),
   ],
   servers: [
     serverRecord(
@@ -98,6 +106,8 @@
     {...sample, revision: 1, incarnation: 'y', serving: false, at: 90_000},
   ],
   stops: [{instance: 'e1', exitCode: 0, from: 0, to: 20}],
+  // Few fail there.
+  cuts: [{urls: ['http://e1'], from: -4_000, to: 5}],
   fatalEnds: [
     ...endsAt(true, 0, 500, 1_000, 3_900, 4_100, 5_000, 6_000),
     ...endsAt(false, 7_000, 8_000),
@@ -182,6 +192,15 @@
   fatal_content_ends: [
     {fatalEnds: endsAt(true, 0, 500, 1_000, 4_100, 4_600, 5_100, 5_600)},
   ],
+  cut_off_is_served: [
+    {
+      cuts: [{urls: ['http://e1'], from: -4_000, to: 5}],
+      observations: [
+        ...Array.from({length: 12}, (_, i) => observationOf(`c${i}`, NOT_RUN)),
+        ...Array.from({length: 30}, (_, i) => atOther(`o${i}`)),
+      ],
+    },
+  ],
   configuration_holds: [
     {accepted, revisions: [{...sample, revision: 1, at: 8_000}]},
     {
--- a/bench/src/history/guarantees.ts
+++ b/bench/src/history/guarantees.ts
@@ -19,6 +19,8 @@
   GracefulStop: 'graceful_stop',
   /** A content that ends its servers is soon sent to none. */
   FatalContentEnds: 'fatal_content_ends',
+  /** Callers of an instance that is cut off from all servers are served. */
+  CutOffIsServed: 'cut_off_is_served',
   /** Accepted configuration is in force within seconds, and never reverts. */
   ConfigurationHolds: 'configuration_holds',
 } as const;
@@ -39,8 +41,15 @@
 export const FATAL_SETTLING_MS = 3_000;
 /** Servers that may end under a content after that. */
 export const MAX_LATE_FATAL_ENDS = 3;
+/** Time from a cut on after which its instances serve their callers, milliseconds. */
+export const CUT_SETTLING_MS = 3_000;
+/** Share of the others' share that they serve at least. */
+const MIN_CUT_OFF_SHARE = 2 / 3;
+/** Failures there that are allowed whatever the load, and for each request. */
+const ALLOWED_CUT_OFF_FAILURES = {fixed: 10, perRequest: 1 / 50} as const;
 /** Time within which an accepted change is in force, milliseconds. */
 export const IN_FORCE_LIMIT_MS = 6_000;
+const SUCCESS = 200;
 /** Window over which probes are counted, milliseconds. */
 export const PROBE_WINDOW_MS = 60_000;
 
@@ -78,6 +87,8 @@
       return findInterruptedByStops(history);
     case Guarantee.FatalContentEnds:
       return findLateFatalEnds(history);
+    case Guarantee.CutOffIsServed:
+      return findUnservedAtCuts(history);
     case Guarantee.ConfigurationHolds:
       return [
         ...findStaleRevisions(history),
@@ -101,6 +112,35 @@
   return [`${late.length} servers ended late under one content`];
 }
 
+function findUnservedAtCuts(history: History): string[] {
+  const {cuts = [], observations, isStable = () => true} = history;
+  const isServed = ({ending}: Observation) =>
+    ending.kind === 'answered' && ending.status === SUCCESS;
+  return cuts.flatMap(({urls, from, to}) => {
+    const counted = observations.filter(
+      ({copies: [first], sentAt, endedAt}) =>
+        first !== undefined &&
+        sentAt >= from + CUT_SETTLING_MS &&
+        sentAt <= to &&
+        isStable(first.url, from, endedAt),
+    );
+    const isThere = ({copies: [first]}: Observation) =>
+      urls.includes(first!.url);
+    const there = counted.filter(isThere);
+    const others = counted.filter(o => !isThere(o));
+    if (there.length === 0 || others.length === 0) return [];
+    const servedThere = there.filter(isServed).length;
+    const shareThere = servedThere / there.length;
+    const shareOfOthers = others.filter(isServed).length / others.length;
+    const {fixed, perRequest} = ALLOWED_CUT_OFF_FAILURES;
+    const allowed = fixed + perRequest * counted.length;
+    const failed = there.length - servedThere;
+    return shareThere < MIN_CUT_OFF_SHARE * shareOfOthers && failed > allowed
+      ? [`${failed} of ${there.length} failed at instances cut off at ${from}`]
+      : [];
+  });
+}
+
 function findProbesOverBudget(server: ServerRecord): string[] {
   const {probes} = server.ledger;
   const allowed =
--- a/bench/src/history/history.ts
+++ b/bench/src/history/history.ts
@@ -60,6 +60,15 @@
   readonly isSenderStable: boolean;
 }
 
+/** A time in which some instances had no links to any backend server. */
+export interface InstanceCut {
+  /** Base URLs for callers of these instances. */
+  readonly urls: readonly string[];
+  /** On the callers' clock, milliseconds. */
+  readonly from: number;
+  readonly to: number;
+}
+
 /** Everything that a run recorded. */
 export interface History {
   readonly observations: readonly Observation[];
@@ -71,6 +80,10 @@
   readonly stops: readonly PlannedStop[];
   /** Ends of servers under one content; undefined if the run had none. */
   readonly fatalEnds?: readonly FatalEndRecord[];
+  /** Undefined if the run cut none. */
+  readonly cuts?: readonly InstanceCut[];
+  /** Whether an instance was undisturbed otherwise; all were if undefined. */
+  readonly isStable?: (url: string, from: number, to: number) => boolean;
   /** Whether the run had faults other than planned stops. */
   readonly hadFaults: boolean;
   /** Overrides the time within which an accepted change is in force. */
