Read the list of instances again while no instance is found that serves

Cause: the list of instances is read about two seconds after the start and then once a minute; instances that announced themselves later were unknown, so that there was nobody to pass requests on to. Class: a list that is right only if all start together.

Change: an instance that suspects its links and finds none that serves reads the list again, every two seconds at most.

--- a/packages/gateway/src/instance/gateway.ts
+++ b/packages/gateway/src/instance/gateway.ts
@@ -160,6 +160,7 @@
       deployment: this.deployment,
       backendClient: this.backendClient,
       instances: () => newsExchange.instances,
+      refreshInstances: () => newsExchange.refreshInstances(),
       checkServing: options.checkServing,
       clock,
       random,
--- a/packages/gateway/src/instance/reach_monitor.ts
+++ b/packages/gateway/src/instance/reach_monitor.ts
@@ -23,6 +23,8 @@
 const MAX_ASKED = 12;
 /** Interval at which they are asked while no server is reached, milliseconds. */
 export const ASK_INTERVAL_MS = 250;
+/** Interval at which the list is read again while no instance is found, milliseconds. */
+const REFRESH_INTERVAL_MS = 2_000;
 const RANDOM_STEPS = 1_024;
 
 /**
@@ -39,6 +41,8 @@
   readonly deployment: Deployment;
   readonly backendClient: BackendClient;
   readonly instances: () => readonly InstanceEntry[];
+  /** Reads the list of instances again. */
+  readonly refreshInstances: () => void;
   readonly checkServing: ServingCheck;
   readonly clock: Clock;
   readonly random: Random;
@@ -63,6 +67,7 @@
   private readonly listeners = new Set<() => void>();
   private askedAt = -Infinity;
   private helpersAsked = false;
+  private refreshedAt = -Infinity;
   /** When the latest suspicion arose; an instance that starts is suspect. */
   private suspectedAt: number;
 
@@ -168,6 +173,7 @@
       Promise.all(asked.map(id => this.responds(id))),
       this.findHelpersIfDue(),
     ]);
+    this.refreshIfAlone();
     const responded = responses.filter(Boolean).length;
     this.reach.recordCheck(responded, clock.now());
     this.noteChange(suspected, {asked: asked.length, responded});
@@ -241,6 +247,15 @@
     }
   }
 
+  /** The known list may lack instances that were added since it was read. */
+  private refreshIfAlone(): void {
+    const now = this.context.clock.now();
+    const isDue = now - this.refreshedAt >= REFRESH_INTERVAL_MS;
+    if (this.helpers.size > 0 || !isDue) return;
+    this.refreshedAt = now;
+    this.context.refreshInstances();
+  }
+
   /** Asks one instance; what it says counts at once. */
   private async ask(instance: InstanceEntry): Promise<void> {
     const {checkServing} = this.context;
--- a/packages/gateway/src/peer/news_exchange.ts
+++ b/packages/gateway/src/peer/news_exchange.ts
@@ -160,6 +160,11 @@
     this.roleListeners.add(wake);
   }
 
+  /** Reads the list of instances soon: those that were added may be missing. */
+  refreshInstances(): void {
+    this.listPause.wake();
+  }
+
   /** Records that the store was restored from an older copy. */
   storeRestored(): void {
     this.isStoreRestored = true;
@@ -173,10 +178,7 @@
 
   /** Announces this instance and maintains its sources until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
-    await Promise.all([
-      this.refreshInstances(signal),
-      this.refreshSources(signal),
-    ]);
+    await Promise.all([this.maintainList(signal), this.refreshSources(signal)]);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -185,7 +187,7 @@
   }
 
   /** Announces this instance and reads the list of instances regularly. */
-  private async refreshInstances(signal: AbortSignal): Promise<void> {
+  private async maintainList(signal: AbortSignal): Promise<void> {
     if (this.options.isFirstStart) {
       await this.announce(signal);
       await this.pauseWithJitter(STARTUP_DELAY_MS, STARTUP_JITTER_MS, signal);
