--- a/bench/src/gateway/disturbance_log.ts
+++ b/bench/src/gateway/disturbance_log.ts
@@ -11,6 +11,8 @@
 interface Disturbance {
   /** Undefined if all instances were affected. */
   readonly instance: string | undefined;
+  /** Whether its process was ended or paused, so that it may have forgotten. */
+  readonly interrupts: boolean;
   readonly from: number;
   to: number;
 }
@@ -22,12 +24,28 @@
   /**
    * Records the start of a disturbance; the returned function records its end.
    */
-  begin(instance: string | undefined): () => void {
-    const disturbance = {instance, from: performance.now(), to: Infinity};
+  begin(instance: string | undefined, interrupts = false): () => void {
+    const disturbance = {
+      instance,
+      interrupts,
+      from: performance.now(),
+      to: Infinity,
+    };
     this.disturbances.push(disturbance);
     return () => (disturbance.to = performance.now());
   }
 
+  /** Whether the process of an instance was ended or paused in the interval. */
+  wasInterrupted(instance: string, from: number, to: number): boolean {
+    return this.disturbances.some(
+      disturbance =>
+        disturbance.interrupts &&
+        disturbance.instance === instance &&
+        disturbance.from <= to &&
+        disturbance.to >= from,
+    );
+  }
+
   /** Whether an instance was undisturbed and settled for the whole interval. */
   isStable(instance: string, from: number, to: number): boolean {
     return !this.disturbances.some(
--- a/bench/src/gateway/gateway_fault.ts
+++ b/bench/src/gateway/gateway_fault.ts
@@ -58,6 +58,15 @@
       readonly mood: LinkMode;
       readonly forMs: number;
     }
+  /** A server turns away what it gets and asks for a rest. */
+  | {
+      readonly kind: 'server_rests';
+      readonly server: number;
+      readonly restMs: number;
+      readonly forMs: number;
+    }
+  /** A server says in its answers that it leaves, long before its entry does. */
+  | {readonly kind: 'server_signs'; readonly server: number}
   /** A server starts draining and removes its entry from the store later. */
   | {readonly kind: 'server_leaves'; readonly server: number}
   /** The operator writes the next configuration. */
@@ -96,6 +105,7 @@
 /** Bounds of the duration of a cut from all servers, milliseconds. */
 const MIN_CUT_MS = 4_000;
 const MAX_CUT_MS = 8_000;
+const REST_MS = 3_000;
 const SERVER_MODES: readonly BackendServerMode[] = [
   {kind: 'fails'},
   {kind: 'sheds'},
@@ -146,6 +156,10 @@
     {kind: 'server_leaves', server},
     drawCut(rng, instances),
     drawCut(rng, instances),
+    {kind: 'server_rests', server, restMs: REST_MS, forMs},
+    {kind: 'server_rests', server, restMs: REST_MS, forMs},
+    {kind: 'server_signs', server},
+    {kind: 'server_signs', server},
     {kind: 'configure'},
     {kind: 'configure'},
   ];
--- a/bench/src/gateway/gateway_run.ts
+++ b/bench/src/gateway/gateway_run.ts
@@ -2,6 +2,7 @@
  * Runs gateway processes under load while injecting a seeded schedule of
  * faults, and collects the history of the run.
  */
+import type {Statement} from '@ragworthall/platform/dist/testing/backend_server_standin.js';
 import type {Runs} from '@ragworthall/standins';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
@@ -17,6 +18,7 @@
   FatalEndRecord,
   RevisionSample,
   ServerRecord,
+  StatementRecord,
 } from '../history/history.js';
 import {seededRandom} from '../scenario/random.js';
 import {
@@ -103,6 +105,9 @@
     accepted: injector.accepted,
     revisions,
     stops: injector.stops,
+    statements: cluster.servers.flatMap(server =>
+      statementsOf(server, cluster, caller, disturbances, injector),
+    ),
     cuts: injector.cuts,
     isStable: stabilityOf(cluster, disturbances),
     fatalEnds: fatalEndsOf(cluster, caller, disturbances),
@@ -218,6 +223,60 @@
   });
 }
 
+/** Time that the answer with a statement may be on its way, milliseconds. */
+const ANSWER_TRANSIT_MS = 300;
+
+/**
+ * The statements of one server that reached their instances, with what these sent
+ * since, unless they were interrupted.
+ */
+function statementsOf(
+  {standIn}: ClusterServer,
+  cluster: GatewayCluster,
+  caller: GatewayCaller,
+  log: DisturbanceLog,
+  {cuts, linkFaults}: GatewayInjector,
+): readonly StatementRecord[] {
+  const urls = new Map(
+    cluster.instances.map(({process}) => [
+      process.identity.ip,
+      process.callersUrl,
+    ]),
+  );
+  const isLost = ({to: ip, at}: Statement) =>
+    [
+      ...cuts.filter(cut => cut.urls.includes(urls.get(ip) ?? '')),
+      ...linkFaults.filter(({server}) => server === standIn.id),
+    ].some(({from, to}) => at + ANSWER_TRANSIT_MS >= from && at <= to);
+  const ids = new Map(
+    cluster.instances.map(({process: {identity}}) => [
+      identity.ip,
+      identity.id,
+    ]),
+  );
+  const sentAt = new Map(
+    caller.observations.flatMap(o => o.copies).map(c => [c.key, c.sentAt]),
+  );
+  const received = standIn.statementsMade.filter(made => !isLost(made));
+  return received.map(statement => {
+    const {kind, to, at} = statement;
+    const instance = ids.get(to) ?? to;
+    const arrivals = standIn.arrivals
+      .filter(arrival => arrival.from === to && arrival.at > at)
+      .filter(arrival => !log.wasInterrupted(instance, at, arrival.at))
+      .map(({at: arrivedAt, request: id}) => {
+        const sent = id === undefined ? undefined : sentAt.get(id);
+        const request =
+          id === undefined || sent === undefined
+            ? undefined
+            : {id, sentAt: sent};
+        return {at: arrivedAt, ...(request && {request})};
+      });
+    const until = kind === 'rest' ? at + statement.ms : Infinity;
+    return {server: standIn.id, instance, kind, at, until, arrivals};
+  });
+}
+
 /**
  * The record of one server. Requests that it received while leaving count
  * only if the sending instance was undisturbed since the server began to leave.
--- a/bench/src/history/guarantees.test.ts
+++ b/bench/src/history/guarantees.test.ts
@@ -1,7 +1,12 @@
 import test from 'ava';
 import {Rank} from '@ragworthall/contracts';
 import type {Ending, Observation, RequestKind} from '../caller/observation.js';
-import {EMPTY_HISTORY, type History, type ServerRecord} from './history.js';
+import {
+  EMPTY_HISTORY,
+  type History,
+  type ServerRecord,
+  type StatementRecord,
+} from './history.js';
 import {checkHistory, IN_FORCE_LIMIT_MS, Guarantee} from './guarantees.js';
 
 const PAYOUT: RequestKind = {
@@ -40,6 +45,24 @@
   return {...observation, copies};
 }
 
+type StatementArrival = StatementRecord['arrivals'][number];
+
+function statementOf(
+  kind: StatementRecord['kind'],
+  until: number,
+  arrivals: readonly StatementArrival[],
+): StatementRecord {
+  return {server: 's1', instance: 'e1', at: 0, kind, until, arrivals};
+}
+
+function sentAt(at: number): StatementArrival {
+  return {at: at + 10, request: {id: 'r', sentAt: at}};
+}
+
+function probeAt(at: number): StatementArrival {
+  return {at};
+}
+
 const ANSWERED: Ending = {kind: 'answered', status: 200, server: 's1'};
 const WRONG: Ending = {kind: 'wrong_answer', detail: 'cut'};
 const NOT_RUN: Ending = {
@@ -106,6 +129,10 @@
     {...sample, revision: 1, incarnation: 'y', serving: false, at: 90_000},
   ],
   stops: [{instance: 'e1', exitCode: 0, from: 0, to: 20}],
+  statements: [
+    statementOf('leaving', Infinity, [sentAt(2_999), probeAt(9_000)]),
+    statementOf('rest', 3_000, [100, 400, 600, 700, 3_001].map(probeAt)),
+  ],
   // Few fail there.
   cuts: [{urls: ['http://e1'], from: -4_000, to: 5}],
   fatalEnds: [
@@ -201,6 +228,12 @@
       ],
     },
   ],
+  leaving_answer_holds: [
+    {statements: [statementOf('leaving', Infinity, [sentAt(3_001)])]},
+  ],
+  rest_is_kept: [
+    {statements: [statementOf('rest', 3_000, [600, 700, 2_999].map(probeAt))]},
+  ],
   configuration_holds: [
     {accepted, revisions: [{...sample, revision: 1, at: 8_000}]},
     {
--- a/bench/src/history/history.ts
+++ b/bench/src/history/history.ts
@@ -69,6 +69,22 @@
   readonly to: number;
 }
 
+/** What a server said of itself to an instance, and what that one sent it since. */
+export interface StatementRecord {
+  readonly server: string;
+  readonly instance: string;
+  /** When it was said, and until when it holds; on the callers' clock, milliseconds. */
+  readonly at: number;
+  readonly until: number;
+  readonly kind: 'leaving' | 'rest';
+  /** Requests and probes since then. */
+  readonly arrivals: readonly {
+    readonly at: number;
+    /** Id of a request and when its caller sent it; undefined for a probe. */
+    readonly request?: {readonly id: string; readonly sentAt: number};
+  }[];
+}
+
 /** Everything that a run recorded. */
 export interface History {
   readonly observations: readonly Observation[];
@@ -80,6 +96,8 @@
   readonly stops: readonly PlannedStop[];
   /** Ends of servers under one content; undefined if the run had none. */
   readonly fatalEnds?: readonly FatalEndRecord[];
+  /** Statements to instances that were not interrupted since. */
+  readonly statements?: readonly StatementRecord[];
   /** Undefined if the run cut none. */
   readonly cuts?: readonly InstanceCut[];
   /** Whether an instance was undisturbed otherwise; all were if undefined. */
