--- a/bench/src/history/guarantees.ts
+++ b/bench/src/history/guarantees.ts
@@ -140,8 +140,10 @@
         o.sentAt >= from + CUT_SETTLING_MS &&
         o.sentAt <= to &&
         isStable(urlOf(o), from, o.endedAt) &&
-        // With all of them cut off, nobody could serve it.
-        everywhere.some(url => !isCut(url, o.sentAt)),
+        // With all others cut off, ended or paused, nobody could serve it.
+        everywhere.some(
+          url => !isCut(url, o.sentAt) && isStable(url, from, o.endedAt),
+        ),
     );
     const there = counted.filter(o => urls.includes(urlOf(o)));
     const others = counted.filter(o => !isCut(urlOf(o), o.sentAt));
