Relay whatever comes once the verdict is that no new connection succeeds

What callers saw: in relayed_requests.test.ts, beside other work, one of 20 requests at an instance whose servers refused new connections got 502.

Cause: while open connections lived on, requests stayed, and one for which a new connection was needed was sent into one that was reset as soon as it was taken: it may have run.

Change: after the verdict requests are relayed; open connections serve what no instance takes.

--- a/packages/balancer/src/service/relay_advice.ts
+++ b/packages/balancer/src/service/relay_advice.ts
@@ -42,13 +42,11 @@
       if (mayRelay && (isSilent || wasUnsent)) return {kind: 'relay'};
       // The instance that passed it on may know others.
       return {kind: isRelayed && isSilent ? 'refuse' : 'stay'};
-    case ReachState.CutOff: {
-      // Connections that live on may still serve it.
-      if (!isSilent && !wasUnsent) return {kind: 'stay'};
+    case ReachState.CutOff:
       if (mayRelay) return {kind: 'relay'};
-      const isHopeless = isRelayed || (isSilent && situation.knowsHelpers);
-      return {kind: isHopeless ? 'refuse' : 'stay'};
-    }
+      if (isRelayed) return {kind: isSilent || wasUnsent ? 'refuse' : 'stay'};
+      // Connections that live on may still serve it.
+      return {kind: isSilent && situation.knowsHelpers ? 'refuse' : 'stay'};
     default:
       return reach satisfies never;
   }
