Give the instances that serve in place of a cut-off one a file of their own

No change of behaviour: ReachMonitor watches the servers, ServingInstances finds and picks the others.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,7 +2,7 @@
 export * from './content/content_table.js';
 export * from './instance/gateway.js';
 export * from './instance/pause_guard.js';
-export type {ServingCheck} from './instance/reach_monitor.js';
+export type {ServingCheck} from './instance/serving_instances.js';
 export * from './log/gateway_log.js';
 export * from './peer/fleet_directory.js';
 export * from './platform/row_source.js';
--- a/packages/gateway/src/instance/gateway.ts
+++ b/packages/gateway/src/instance/gateway.ts
@@ -37,11 +37,8 @@
 import {RequestQueues} from '../request/request_queue.js';
 import {ConfigurationSink} from './configuration_sink.js';
 import {pause} from './pause.js';
-import {
-  ASK_INTERVAL_MS,
-  ReachMonitor,
-  type ServingCheck,
-} from './reach_monitor.js';
+import {ReachMonitor} from './reach_monitor.js';
+import {ASK_INTERVAL_MS, type ServingCheck} from './serving_instances.js';
 import type {PauseGuard} from './pause_guard.js';
 import {RegistrySink} from './registry_sink.js';
 import {
@@ -265,13 +262,13 @@
   addresses(): AddressAnswer | undefined {
     if (!this.isReady) return undefined;
     const {host, port} = this.options.callers;
-    const {isCutOff, isSilent, servingAddresses} = this.reach;
-    const isElsewhere = isCutOff || (isSilent && servingAddresses.length > 0);
+    const {isCutOff, isSilent, serving} = this.reach;
+    const isElsewhere = isCutOff || (isSilent && serving.addresses.length > 0);
     if (!isElsewhere) {
       return {addresses: [`${host}:${port}`], ttlMs: ADDRESS_TTL_MS};
     }
-    if (servingAddresses.length === 0) return undefined;
-    return {addresses: servingAddresses, ttlMs: OTHERS_TTL_MS};
+    if (serving.addresses.length === 0) return undefined;
+    return {addresses: serving.addresses, ttlMs: OTHERS_TTL_MS};
   }
 
   /**
--- a/packages/gateway/src/instance/reach_monitor.ts
+++ b/packages/gateway/src/instance/reach_monitor.ts
@@ -1,79 +1,45 @@
 /**
- * Checks whether this instance reaches the backend servers, and while it does
- * not, finds instances that do, so that callers can be sent there.
+ * Checks whether this instance reaches the backend servers, and tells those who
+ * wait for them when it does not.
  */
 import {
-  type Clock,
   type Deployment,
-  type InstanceEntry,
-  type Random,
   ReachState,
   ServerReach,
   type SharedServer,
 } from '@ragworthall/balancer';
 import type {BackendClient} from '../backend_server/backend_client.js';
-import type {GatewayLog, LogFields} from '../log/gateway_log.js';
+import type {LogFields} from '../log/gateway_log.js';
 import {pause} from './pause.js';
+import {type ServingContext, ServingInstances} from './serving_instances.js';
 
 /** Interval at which the need for a check is looked at, milliseconds. */
 const TICK_MS = 100;
 /** Time within which a server responds on a fresh connection, milliseconds. */
 const CHECK_TIMEOUT_MS = 300;
-/** Instances that are asked at once whether they serve. */
-const MAX_ASKED = 12;
-/** Interval at which they are asked while no server is reached, milliseconds. */
-export const ASK_INTERVAL_MS = 250;
-/** Interval at which the list is read again while no instance is found, milliseconds. */
-const REFRESH_INTERVAL_MS = 2_000;
-const RANDOM_STEPS = 1_024;
-
-/**
- * Returns the address for callers of another instance if that instance names
- * itself to them, so reaches servers; undefined if not, or without an answer.
- */
-export type ServingCheck = (
-  instance: InstanceEntry,
-) => Promise<string | undefined>;
 
 /** Dependencies of a {@link ReachMonitor}. */
-export interface ReachContext {
-  readonly self: {readonly id: string; readonly failureDomain: string};
+export interface ReachContext extends Omit<ServingContext, 'onFound'> {
   readonly deployment: Deployment;
   readonly backendClient: BackendClient;
-  readonly instances: () => readonly InstanceEntry[];
-  /** Reads the list of instances again. */
-  readonly refreshInstances: () => void;
-  readonly checkServing: ServingCheck;
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly log: GatewayLog;
-}
-
-/** An instance that serves callers. */
-interface Helper {
-  /** Where callers connect to it. */
-  readonly address: string;
-  /** Whether it is in the failure domain of this instance. */
-  readonly isNear: boolean;
-  /** Whether it has taken what this instance passed on, as far as is known. */
-  readonly takesRelays: boolean;
 }
 
 /** The reach of one instance. */
 export class ReachMonitor {
   private readonly reach: ServerReach;
-  /** The instances that serve callers, by id. */
-  private readonly helpers = new Map<string, Helper>();
+  /** The instances that serve callers in the place of this one. */
+  readonly serving: ServingInstances;
   private readonly listeners = new Set<() => void>();
-  private askedAt = -Infinity;
-  private helpersAsked = false;
-  private refreshedAt = -Infinity;
   /** When the latest suspicion arose; an instance that starts is suspect. */
   private suspectedAt: number;
 
   constructor(private readonly context: ReachContext) {
     this.reach = new ServerReach(context.random);
     this.suspectedAt = context.clock.now();
+    this.serving = new ServingInstances({
+      ...context,
+      onFound: () => this.isSilent && this.notifyUnreachable(),
+    });
   }
 
   get state(): ReachState {
@@ -90,42 +56,6 @@
     return this.reach.isSilent(this.context.clock.now());
   }
 
-  /** Addresses of instances that serve callers while this one cannot. */
-  get servingAddresses(): readonly string[] {
-    return [...this.helpers.values()].map(({address}) => address);
-  }
-
-  /** Whether the other instances have been asked, as far as there are any. */
-  get knowsHelpers(): boolean {
-    const {instances} = this.context;
-    return this.helpersAsked || instances().length === 1;
-  }
-
-  /**
-   * Returns one of these addresses that is not among `except`, at random; from
-   * another failure domain if there is one, since the own may be cut off whole.
-   */
-  pickServing(except: ReadonlySet<string>): string | undefined {
-    const usable = [...this.helpers.values()].filter(
-      ({address, takesRelays}) => takesRelays && !except.has(address),
-    );
-    const far = usable.filter(({isNear}) => !isNear);
-    const preferred = far.length > 0 ? far : usable;
-    const steps = Math.max(1, preferred.length);
-    return preferred[this.context.random.nextInt(steps)]?.address;
-  }
-
-  /**
-   * Records that the instance at this address takes nothing that is passed on;
-   * nothing is until it has been asked again.
-   */
-  recordRelayRefused(address: string): void {
-    this.helpers.forEach((helper, id) => {
-      if (helper.address !== address) return;
-      this.helpers.set(id, {...helper, takesRelays: false});
-    });
-  }
-
   /** Records that a server was added to the registry. */
   recordServerAdded(): void {
     this.reach.recordServerAdded();
@@ -171,9 +101,8 @@
     const suspected = this.reach.state;
     const [responses] = await Promise.all([
       Promise.all(asked.map(id => this.responds(id))),
-      this.findHelpersIfDue(),
+      this.serving.askIfDue(),
     ]);
-    this.refreshIfAlone();
     const responded = responses.filter(Boolean).length;
     this.reach.recordCheck(responded, clock.now());
     this.noteChange(suspected, {asked: asked.length, responded});
@@ -199,9 +128,7 @@
             ? 'servers_reached'
             : 'servers_suspicion_ended';
         log.dependency(kind, {...counts, afterMs});
-        this.helpers.clear();
-        this.askedAt = -Infinity;
-        this.helpersAsked = false;
+        this.serving.forget();
         return;
       }
       default:
@@ -220,63 +147,4 @@
     if (!server || path === undefined) return false;
     return backendClient.check(server, path, CHECK_TIMEOUT_MS);
   }
-
-  /** Asks instances of other failure domains first: the own one may be cut off whole. */
-  private async findHelpersIfDue(): Promise<void> {
-    const {self, instances, clock, log} = this.context;
-    if (clock.now() - this.askedAt < ASK_INTERVAL_MS) return;
-    const others = this.shuffled(instances().filter(({id}) => id !== self.id));
-    if (others.length === 0) return;
-    this.askedAt = clock.now();
-    const isNear = ({failureDomain}: InstanceEntry) =>
-      failureDomain === self.failureDomain;
-    const asked = [
-      ...others.filter(instance => !isNear(instance)),
-      ...others.filter(isNear),
-    ].slice(0, MAX_ASKED);
-    const before = this.helpers.size;
-    const known = new Set(asked.map(({id}) => id));
-    [...this.helpers.keys()]
-      .filter(id => !known.has(id))
-      .forEach(id => this.helpers.delete(id));
-    await Promise.all(asked.map(instance => this.ask(instance)));
-    this.helpersAsked = true;
-    const serving = this.helpers.size;
-    if (before !== serving) {
-      log.stateChange('serving_instances', {asked: asked.length, serving});
-    }
-  }
-
-  /** The known list may lack instances that were added since it was read. */
-  private refreshIfAlone(): void {
-    const now = this.context.clock.now();
-    const isDue = now - this.refreshedAt >= REFRESH_INTERVAL_MS;
-    if (this.helpers.size > 0 || !isDue) return;
-    this.refreshedAt = now;
-    this.context.refreshInstances();
-  }
-
-  /** Asks one instance; what it says counts at once. */
-  private async ask(instance: InstanceEntry): Promise<void> {
-    const {checkServing} = this.context;
-    const address = await checkServing(instance);
-    if (address === undefined) {
-      this.helpers.delete(instance.id);
-      return;
-    }
-    const isFirst = this.helpers.size === 0;
-    const isNear = instance.failureDomain === this.context.self.failureDomain;
-    this.helpers.set(instance.id, {address, isNear, takesRelays: true});
-    if (isFirst && this.isSilent) this.notifyUnreachable();
-  }
-
-  private shuffled(
-    instances: readonly InstanceEntry[],
-  ): readonly InstanceEntry[] {
-    const {random} = this.context;
-    return instances
-      .map(instance => ({instance, order: random.nextInt(RANDOM_STEPS)}))
-      .sort((a, b) => a.order - b.order)
-      .map(({instance}) => instance);
-  }
 }
--- a/packages/gateway/src/request/relay_run.ts
+++ b/packages/gateway/src/request/relay_run.ts
@@ -55,7 +55,7 @@
       isSilent: reach.isSilent,
       wasUnsent: this.progress.unsent > 0,
       hasHelper: this.tried.size < MAX_RELAYS && this.next !== undefined,
-      knowsHelpers: reach.knowsHelpers,
+      knowsHelpers: reach.serving.isKnown,
       isRelayed: this.request.relay !== undefined,
       attemptsLeft: this.progress.attemptsLeft,
     });
@@ -120,11 +120,12 @@
         return result;
       case 'refused':
         this.retryAfterMs = Math.max(ELSEWHERE_RETRY_MS, result.retryAfterMs);
-        if (NOT_SERVING.has(result.reason)) reach.recordRelayRefused(to);
+        if (NOT_SERVING.has(result.reason))
+          reach.serving.recordRelayRefused(to);
         progress.sends -= 1;
         return undefined;
       case 'not_sent':
-        reach.recordRelayRefused(to);
+        reach.serving.recordRelayRefused(to);
         progress.sends -= 1;
         return undefined;
       case 'lost':
@@ -140,6 +141,6 @@
 
   /** Address of the next instance; undefined if none is known. */
   private get next(): string | undefined {
-    return this.context.reach.pickServing(this.tried);
+    return this.context.reach.serving.pick(this.tried);
   }
 }
