Start a process again that SIGHUP ended while it was being started

Traced: kill_all at 5.4 s, SIGHUP to instance 2 at 6.4 s, when that was being started and had no handler yet; it ended, and the soak started none again, as the platform does.

Change: the soak starts it again after half a second.

--- a/bench/src/gateway/gateway_injector.ts
+++ b/bench/src/gateway/gateway_injector.ts
@@ -27,6 +27,8 @@
 const FATAL_INTERVAL_MS = 500;
 /** Time for which a server says that it leaves before its entry does, milliseconds. */
 const SIGNED_MS = 4_000;
+/** Time after which the platform starts a process that has ended, milliseconds. */
+const RESTART_DELAY_MS = 500;
 /** Minimum number of servers that are not draining. */
 const MIN_SERVERS = 4;
 
@@ -92,7 +94,7 @@
       case 'stop':
         return this.stop(cluster.instances[fault.instance]!);
       case 'hangup':
-        return cluster.instances[fault.instance]!.process.signal('SIGHUP');
+        return this.hangUp(cluster.instances[fault.instance]!);
       case 'store':
         return this.holdDuringDisturbance(undefined, fault.forMs, isActive => {
           cluster.store.mode = isActive ? fault.mood : {kind: 'well'};
@@ -238,6 +240,18 @@
     this.faultedInstances.delete(id);
   }
 
+  /** A process that is only being started ends by the signal; it is started again. */
+  private async hangUp({process}: ClusterInstance): Promise<void> {
+    if (!process.isRunning) return;
+    process.signal('SIGHUP');
+    await delay(RESTART_DELAY_MS);
+    if (process.isRunning) return;
+    const endDisturbance = this.disturbances.begin(process.identity.id, true);
+    process.launch();
+    await process.waitUntilReady(START_TIMEOUT_MS);
+    endDisturbance();
+  }
+
   private kill(instance: ClusterInstance, forMs: number): Promise<void> {
     const {process} = instance;
     return this.runExclusively(instance, async () => {
