Serve nothing behind an answer that ends a caller's connection

Also: requests in flight lost their answers when a later message on their connection was malformed or late; requests behind a 413, or behind the 400 that Node.js writes where Host is missing, ran and lost their answers.

Cause: answers that the server writes itself ended the socket, and nothing recorded it. The parser goes on until the socket is closed, so what crossed the answer was served.

Change: a connection knows that it is ending. Requests of a connection are received one after another. Before a head counts as late, the bytes that came while the process stood still are read, so that the request is served.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -3,6 +3,7 @@
 export {DaemonLog} from './log/daemon_log.js';
 export {removeHopByHopHeaders} from './caller/header_filter.js';
 export {areValidFields} from './caller/header_syntax.js';
+export {closeLingering} from './caller/lingering_close.js';
 export {StopSignals} from './instance/stop_signals.js';
 export {Dialler} from './peer/dialler.js';
 export {type FrameCodec, frameCodec} from './peer/frame_codec.js';
--- a/packages/gateway/src/caller/caller_connection.ts
+++ b/packages/gateway/src/caller/caller_connection.ts
@@ -1,14 +1,24 @@
 /** A caller's connection and its pipelined requests, which are answered in order. */
+import {closeLingering} from '@ragworthall/daemon';
 import {setMaxListeners} from 'node:events';
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {encodeRejection, type Rejection} from './rejection.js';
 
 /** One connection of a caller. */
 export class CallerConnection {
   /** Aborted when the caller has closed the connection. */
   private readonly closeController = new AbortController();
+  /** Responses of the requests in flight, in the order of the requests. */
   private readonly openResponses = new Set<ServerResponse>();
-  private closeAnnounced = false;
+  /** Number of requests whose heads have arrived. */
+  private heads = 0;
+  /** Whether no further request is served. */
+  private isEnding = false;
+  /** What is answered after the requests in flight, before the connection ends. */
+  private rejection: Rejection | undefined;
+  /** Resolves when the last request so far has been received or rejected. */
+  private lastReceived: Promise<unknown> = Promise.resolve();
   /** Bytes that had been read when the last request was answered. */
   private bytesReadBefore = 0;
 
@@ -38,53 +48,103 @@
 
   /** Whether a request is in flight or is being received. */
   get isInUse(): boolean {
-    return this.isBusy || this.socket.bytesRead > this.bytesReadBefore;
+    if (this.isBusy) return true;
+    return !this.isEnding && this.socket.bytesRead > this.bytesReadBefore;
   }
 
   /**
-   * Registers a request; returns false if the connection is being closed, so that
-   * the request would get no answer.
+   * Registers a request; returns false if the connection is ending, so that the
+   * request would get no answer.
    */
   accept(res: ServerResponse): boolean {
-    if (this.closeAnnounced) return false;
+    this.heads += 1;
+    if (this.isEnding) {
+      res.req.resume();
+      return false;
+    }
     this.openResponses.add(res);
-    res.once('close', () => {
-      this.openResponses.delete(res);
-      this.bytesReadBefore = this.socket.bytesRead;
-    });
+    res.once('close', () => this.forget(res));
     return true;
   }
 
+  /**
+   * Receives the requests one after another, so that none begins before those
+   * ahead of it are known not to end the connection. Resolves with undefined if
+   * one of them has.
+   */
+  async receive<T>(
+    res: ServerResponse,
+    read: () => Promise<T>,
+  ): Promise<T | undefined> {
+    const received = this.lastReceived.then(() =>
+      this.openResponses.has(res) ? read() : undefined,
+    );
+    this.lastReceived = received.catch(() => undefined);
+    const request = await received;
+    return this.openResponses.has(res) ? request : undefined;
+  }
+
   /**
    * Returns whether the connection ends with the answer about to be written. Only
    * the last request in flight may end it: answers after it would be lost.
    */
   closesAfter(res: ServerResponse): boolean {
-    if (!this.isClosing()) return false;
+    if (!this.isClosing() || this.rejection) return false;
     const isLast = this.openResponses.size === 1 && this.openResponses.has(res);
-    this.closeAnnounced ||= isLast;
+    this.isEnding ||= isLast;
     return isLast;
   }
 
-  /** Accepts no further requests; those in flight are answered. */
-  endAfterCurrent(): void {
-    this.closeAnnounced = true;
-  }
-
   /**
    * Closes the connection unless it is in use. A request that arrives while the
    * close is on its way is not served: its caller could not read the answer.
    */
   closeIdle(): void {
-    if (this.isInUse) return;
-    this.closeAnnounced = true;
-    this.socket.end();
+    if (!this.isInUse && !this.isEnding) this.end();
+  }
+
+  /**
+   * Answers the requests in flight, then writes a rejection and ends the
+   * connection. No request from `from` on is served, nor one that arrives later;
+   * without `from`, none that has not been read completely.
+   */
+  reject(rejection: Rejection, from?: ServerResponse): void {
+    if (this.rejection) return;
+    this.rejection = rejection;
+    this.isEnding = true;
+    const responses = [...this.openResponses];
+    const first = from
+      ? responses.indexOf(from)
+      : responses.findIndex(({req}) => !req.complete);
+    if (first >= 0) responses.slice(first).forEach(res => this.drop(res));
+    if (!this.isBusy) this.end();
+  }
+
+  /**
+   * Rejects what has not arrived in time. Bytes that came while the process stood
+   * still are read first: they may complete a head.
+   */
+  rejectLate(rejection: Rejection): void {
+    const {heads} = this;
+    setImmediate(() => {
+      if (this.heads === heads) this.reject(rejection);
+    });
+  }
+
+  private forget(res: ServerResponse): void {
+    if (!this.openResponses.delete(res)) return;
+    this.bytesReadBefore = this.socket.bytesRead;
+    if (this.isEnding && !this.isBusy) this.end();
+  }
+
+  private drop(res: ServerResponse): void {
+    this.openResponses.delete(res);
+    res.req.resume();
   }
 
-  /** Closes the connection after bytes that could not be parsed as a request. */
-  rejectMalformed(answer: string): void {
-    // With a request in flight, the caller would take this answer for the answer to it.
-    if (this.isBusy || !this.socket.writable) this.socket.destroy();
-    else this.socket.end(answer);
+  private end(): void {
+    this.isEnding = true;
+    const {rejection} = this;
+    closeLingering(this.socket, rejection ? encodeRejection(rejection) : '');
   }
 }
--- a/packages/gateway/src/caller/caller_server.ts
+++ b/packages/gateway/src/caller/caller_server.ts
@@ -17,6 +17,7 @@
 import type {CallerRequest, RequestEnd} from '../request/caller_request.js';
 import {readBody} from './body.js';
 import {CallerConnection} from './caller_connection.js';
+import {Rejection, rejectionOfError} from './rejection.js';
 
 /** Timeout of a request that states none, milliseconds. */
 const DEFAULT_TIMEOUT_MS = 30_000;
@@ -27,9 +28,9 @@
   headersMs: 10_000,
   idleMs: 60_000,
 };
-/** Longest time for a request to arrive, milliseconds; one may come without end. */
-const REQUEST_TIMEOUT_MS = 60_000;
-/** Interval at which the times for heads and requests are checked, milliseconds. */
+/** Longest time for a body to arrive, milliseconds; one may come without end. */
+const BODY_TIMEOUT_MS = 60_000;
+/** Interval at which the time for heads is checked, milliseconds. */
 const TIMEOUT_CHECK_MS = 1_000;
 const MS_PER_S = 1_000;
 /** Request headers that the backend HTTP client sets itself. */
@@ -63,7 +64,10 @@
     this.server = createServer({
       maxHeaderSize: DEFAULT_LIMITS.headerBytes,
       headersTimeout: DEFAULT_LIMITS.headersMs,
-      requestTimeout: REQUEST_TIMEOUT_MS,
+      // The time for a body is limited where it is read.
+      requestTimeout: 0,
+      // Node.js would close the connection under requests behind the faulty one.
+      requireHostHeader: false,
       connectionsCheckingInterval: TIMEOUT_CHECK_MS,
       keepAliveTimeout: DEFAULT_LIMITS.idleMs,
       noDelay: true,
@@ -76,8 +80,11 @@
         (req, res) =>
           void this.serve(req, res).catch(err => this.fail(res, err)),
       )
+      .on('connect', (req, socket) =>
+        this.connections.get(socket as Socket)?.reject(Rejection.Malformed),
+      )
       .on('clientError', (err: NodeJS.ErrnoException, socket) =>
-        this.rejectMalformed(err, socket as Socket),
+        this.reject(err, socket as Socket),
       );
   }
 
@@ -136,39 +143,53 @@
     const arrivedAt = this.clock.now();
     const connection = this.connections.get(req.socket);
     if (!connection?.accept(res)) return;
+    const request = await connection.receive(res, () =>
+      this.receive(connection, req, res, arrivedAt),
+    );
+    if (!request) return;
+    const end = await this.handler(request);
+    if (!connection.closed.aborted) this.reply(connection, res, request, end);
+  }
+
+  /** Reads and checks a request; undefined if it has been answered or dropped. */
+  private async receive(
+    connection: CallerConnection,
+    req: IncomingMessage,
+    res: ServerResponse,
+    arrivedAt: number,
+  ): Promise<CallerRequest | undefined> {
     // A caller whose fields are malformed may frame its messages differently:
     // nothing that follows on its connection is served.
-    if (!areValidFields(req.rawHeaders)) connection.endAfterCurrent();
-    const body = await readBody(req, this.limits.bodyBytes);
+    if (!areValidFields(req.rawHeaders)) {
+      connection.reject(Rejection.Malformed, res);
+      return undefined;
+    }
+    const body = await readBody(req, this.limits.bodyBytes, BODY_TIMEOUT_MS);
     switch (body.kind) {
       case 'truncated':
-        return;
+        return undefined;
+      case 'too_slow':
+        connection.reject(Rejection.Late, res);
+        return undefined;
       case 'too_large':
-        res.writeHead(413, {connection: 'close'}).end();
-        return;
+        // The rest of the body may be long: it is not awaited.
+        if (!req.complete) connection.reject(Rejection.BodyTooLarge, res);
+        else res.writeHead(413).end();
+        return undefined;
       case 'complete':
         break;
       default:
-        body satisfies never;
-        return;
+        return body satisfies never;
     }
-    if (!areValidFields([...req.rawHeaders, ...req.rawTrailers])) {
-      connection.endAfterCurrent();
-      res.writeHead(400, {connection: 'close'}).end('malformed header field\n');
-      return;
+    if (!areValidFields(req.rawTrailers)) {
+      connection.reject(Rejection.Malformed, res);
+      return undefined;
     }
-    const request = this.parseRequest(
-      req,
-      body.bytes,
-      arrivedAt,
-      connection.closed,
-    );
-    if (request === undefined) {
+    const {closed} = connection;
+    const request = this.parseRequest(req, body.bytes, arrivedAt, closed);
+    if (!request)
       res.writeHead(400).end('a request needs one id and one host\n');
-      return;
-    }
-    const end = await this.handler(request);
-    if (!connection.closed.aborted) this.reply(connection, res, request, end);
+    return request;
   }
 
   /**
@@ -177,8 +198,13 @@
    */
   private fail(res: ServerResponse, err: unknown): void {
     this.onError(err);
-    if (res.headersSent) res.destroy();
-    else res.writeHead(502, {connection: 'close'}).end('internal error\n');
+    if (res.headersSent) {
+      res.destroy();
+      return;
+    }
+    // They belong to the answer that could not be written.
+    res.getHeaderNames().forEach(name => res.removeHeader(name));
+    res.writeHead(502).end('internal error\n');
   }
 
   private parseRequest(
@@ -278,20 +304,14 @@
     res.writeHead(status).end(`${reason}\n`);
   }
 
-  private rejectMalformed(err: NodeJS.ErrnoException, socket: Socket): void {
+  private reject(err: NodeJS.ErrnoException, socket: Socket): void {
     const connection = this.connections.get(socket);
-    if (!connection || err.code === 'ECONNRESET') socket.destroy();
-    else connection.rejectMalformed(parserErrorResponse(err.code));
+    if (!connection || err.code === 'ECONNRESET') {
+      socket.destroy();
+      return;
+    }
+    const rejection = rejectionOfError(err.code);
+    if (rejection === Rejection.Late) connection.rejectLate(rejection);
+    else connection.reject(rejection);
   }
 }
-
-function parserErrorResponse(code: string | undefined): string {
-  const status = STATUS_BY_ERROR[code ?? ''] ?? '400 Bad Request';
-  return `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
-}
-
-/** Statuses by error code of Node's HTTP parser. */
-const STATUS_BY_ERROR: Readonly<Record<string, string>> = {
-  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
-};
--- /dev/null
+++ b/packages/gateway/src/caller/rejection.ts
@@ -0,0 +1,45 @@
+/**
+ * Messages of callers that are no request to serve. Each is answered by the server
+ * itself, with a status that says that it was not run, and ends its connection:
+ * where the next message begins is not known, or is still far.
+ */
+
+/** Why a message is rejected. */
+export const Rejection = {
+  /** It is not valid HTTP/1.1. */
+  Malformed: 'malformed',
+  /** Its head, or its body, did not arrive in time. */
+  Late: 'late',
+  BodyTooLarge: 'body_too_large',
+  HeadTooLarge: 'head_too_large',
+} as const;
+
+/** A value of {@link Rejection}. */
+export type Rejection = (typeof Rejection)[keyof typeof Rejection];
+
+const STATUS_LINES: Readonly<Record<Rejection, string>> = {
+  malformed: '400 Bad Request',
+  late: '408 Request Timeout',
+  body_too_large: '413 Content Too Large',
+  head_too_large: '431 Request Header Fields Too Large',
+};
+
+/** Returns the whole answer to a rejected message. */
+export function encodeRejection(rejection: Rejection): string {
+  return (
+    `HTTP/1.1 ${STATUS_LINES[rejection]}\r\n` +
+    'Connection: close\r\nContent-Length: 0\r\n\r\n'
+  );
+}
+
+/** Returns the rejection for an error code of Node's HTTP server. */
+export function rejectionOfError(code: string | undefined): Rejection {
+  switch (code) {
+    case 'HPE_HEADER_OVERFLOW':
+      return Rejection.HeadTooLarge;
+    case 'ERR_HTTP_REQUEST_TIMEOUT':
+      return Rejection.Late;
+    default:
+      return Rejection.Malformed;
+  }
+}
