Serve nothing behind an answer that ends a connection in ragworthalld

Callers saw: a call that crossed a 408, 400 or 431 ran; calls behind a 417, behind the 400 that Node.js writes where Host is missing, or behind the answer that closes a connection in a stop ran and lost their answers; a malformed or late message cut off the call in flight before it.

Change: the connection takes nothing more once it is ending, its last answer is the one that closes it, and Expect and Host are checked here, since Node.js's own answers end the connection under what is queued. Bytes that came while the process stood still are read before a head counts as late. Refusals moved to a file of their own.

--- a/packages/daemon/src/caller/answer_writer.ts
+++ b/packages/daemon/src/caller/answer_writer.ts
@@ -8,11 +8,29 @@
 import {CallerHeader, Outcome, type Refusal} from '@ragworthall/contracts';
 import {STATUS_CODES, type ServerResponse} from 'node:http';
 import {forwardedAnswerHeaders, allowsBody} from './header_filter.js';
+import type {CallerResult} from './caller_handler.js';
 import {faultAnswer, type MessageFault} from './message_fault.js';
 
 /** Largest body that is copied to be sent in one write with its head, bytes. */
 const MAX_COMBINED_BODY_BYTES = 16_384;
 
+/** Writes the result of a call. */
+export function writeResult(res: ServerResponse, result: CallerResult): void {
+  switch (result.kind) {
+    case 'answered':
+      return writeAnswer(res, result.answer, result.requestId);
+    case 'refused':
+      return writeRefusal(
+        res,
+        refusalStatusOf(result.reason),
+        refusalOf(result),
+        result.requestId,
+      );
+    default:
+      result satisfies never;
+  }
+}
+
 /** Writes the complete answer of a backend server. */
 export function writeAnswer(
   res: ServerResponse,
--- a/packages/daemon/src/caller/caller_connection.ts
+++ b/packages/daemon/src/caller/caller_connection.ts
@@ -9,23 +9,15 @@
   RefusalReason,
   type Refused,
 } from '@ragworthall/balancer';
-import {
-  BackendHeader,
-  CallerHeader,
-  Outcome,
-  type Refusal,
-} from '@ragworthall/contracts';
+import {BackendHeader, CallerHeader} from '@ragworthall/contracts';
 import {ok, type Result} from 'neverthrow';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {
   encodeFaultAnswer,
-  faultRefusal,
-  refusalOf,
-  refusalStatusOf,
-  writeAnswer,
   writeJson,
   writeRefusal,
+  writeResult,
 } from './answer_writer.js';
 import {
   type BodyMemory,
@@ -41,23 +33,20 @@
   CallerResult,
   CallHandler,
 } from './caller_handler.js';
-import {requestHeadOf, singleValue, callerRequestOf} from './caller_request.js';
+import {callerRequestOf, singleValue} from './caller_request.js';
 import {areValidFields} from './header_syntax.js';
 import {Inbox} from './inbox.js';
+import {closeLingering, LINGER_MS} from './lingering_close.js';
 import type {MemberConnections} from './member_connections.js';
 import type {Grant, MemberAdmission} from './member_admission.js';
 import {Counter, type MetricSink, Timing} from '../metrics/metric.js';
 import {faultOfHead} from './message_check.js';
-import {faultAnswer, MessageFault, recordedReason} from './message_fault.js';
+import {MessageFault} from './message_fault.js';
+import {createRefusal, statusOfRefusal} from './refusal.js';
 import {parseTarget, type ServiceTarget} from './request_target.js';
 
 /** Maximum number of requests queued on a connection behind the current one. */
 const MAX_PIPELINED_REQUESTS = 64;
-/**
- * Time allowed for discarding the rest of a refused request's body, and for
- * sending the answer to an unparsable message, milliseconds.
- */
-const DISCARD_TIMEOUT_MS = 500;
 
 /** A received request and the response object to answer it with. */
 interface PendingRequest {
@@ -90,6 +79,16 @@
 export class CallerConnection {
   private readonly queue = new Inbox<PendingRequest>();
   private phase: Phase = 'idle';
+  /** The request that is being received or answered. */
+  private current: IncomingMessage | undefined;
+  /** Number of requests whose heads have arrived. */
+  private heads = 0;
+  /** Whether no request that arrives from now on is served. */
+  private isEnding = false;
+  /** Whether the last bytes have been written. */
+  private hasEnded = false;
+  /** What is answered after the requests so far, before the connection ends. */
+  private fault: MessageFault | undefined;
   /** Member whose service was called last; the connection counts towards it. */
   private lastMember: string | undefined;
   private onIdle: () => void = () => undefined;
@@ -106,7 +105,7 @@
     return this.phase === 'idle' && this.queue.size === 0;
   }
 
-  /** Queues a parsed request; too many queued requests close the connection. */
+  /** Queues a parsed request; too many queued requests end the connection. */
   receive(
     req: IncomingMessage,
     res: ServerResponse,
@@ -114,22 +113,35 @@
   ): void {
     // A connection lost mid-answer emits `error`; `write` handles its `close`.
     res.on('error', () => undefined);
-    if (this.queue.size >= MAX_PIPELINED_REQUESTS) this.socket.destroy();
+    this.heads += 1;
+    this.isEnding ||= this.queue.size >= MAX_PIPELINED_REQUESTS;
+    // Behind an answer that ends the connection, its caller takes it for not read.
+    if (this.isEnding) req.resume();
     else this.queue.put({req, res, expectsContinue});
   }
 
-  /** Answers a message that could not be parsed, and closes the connection. */
+  /**
+   * Answers the requests received so far, then a message that could not be
+   * parsed, and ends the connection.
+   */
   fail(fault: MessageFault): void {
-    // While an answer is being written, the caller would take the refusal for
-    // a part of that answer.
-    if (this.phase === 'answering' || !this.socket.writable) {
-      this.socket.destroy();
-      return;
-    }
-    this.phase = 'answering';
+    if (this.isEnding) return;
+    this.isEnding = true;
+    this.fault = fault;
     this.countFault(fault);
-    this.socket.end(encodeFaultAnswer(fault));
-    setTimeout(() => this.socket.destroy(), DISCARD_TIMEOUT_MS).unref();
+    const isFaultInBody = this.phase === 'receiving' && !this.current?.complete;
+    if (this.idle || isFaultInBody) this.end();
+  }
+
+  /**
+   * Fails a message that has not arrived in time. Bytes that came while the
+   * process stood still are read first: they may complete a head.
+   */
+  failLate(fault: MessageFault): void {
+    const {heads} = this;
+    setImmediate(() => {
+      if (this.heads === heads) this.fail(fault);
+    });
   }
 
   /** Serves the connection until it closes. */
@@ -138,9 +150,12 @@
       const pending = await this.queue.take();
       if (!pending) break;
       this.phase = 'receiving';
+      this.current = pending.req;
       await this.serve(pending);
       this.phase = 'idle';
-      if (this.idle) this.onIdle();
+      if (!this.idle) continue;
+      if (this.isEnding) this.end();
+      this.onIdle();
     }
     if (this.lastMember !== undefined)
       this.server.connections.remove(this.lastMember);
@@ -159,6 +174,16 @@
     });
   }
 
+  /** Writes the last answer. */
+  private end(): void {
+    if (this.hasEnded) return;
+    this.hasEnded = true;
+    closeLingering(
+      this.socket,
+      this.fault ? encodeFaultAnswer(this.fault) : '',
+    );
+  }
+
   private async serve(pending: PendingRequest): Promise<void> {
     const {req} = pending;
     const fault = faultOfHead(req);
@@ -226,6 +251,7 @@
     target: ServiceTarget,
     body: Uint8Array,
   ): Promise<void> {
+    if (this.hasEnded) return;
     const {req, res} = pending;
     const context = this.readContext(req);
     if (context.isErr()) return this.refuse(pending, context.error);
@@ -280,49 +306,20 @@
     if (typeof refusal === 'string') this.countFault(refusal);
     // Closing a socket with unread bytes resets the connection, and the caller
     // would lose the refusal.
-    if (!pending.expectsContinue) await discardBody(req, DISCARD_TIMEOUT_MS);
-    if (res.destroyed) return;
+    if (!pending.expectsContinue) await discardBody(req, LINGER_MS);
+    if (res.destroyed || this.hasEnded) return;
     // A caller whose fields are malformed may frame its messages differently.
-    const isMisread = refusal === MessageFault.HeaderMalformed;
-    if (isMisread) this.queue.close();
-    if (isMisread || !req.complete) res.setHeader('connection', 'close');
-    const responseBody = await this.createRefusal(req, refusal);
-    const status =
-      typeof refusal === 'string'
-        ? faultAnswer(refusal).status
-        : refusalStatusOf(refusal.reason);
+    if (refusal === MessageFault.HeaderMalformed) {
+      this.isEnding = true;
+      this.queue.clear();
+    }
+    this.isEnding ||= !req.complete;
+    const {handler} = this.server;
+    const responseBody = await createRefusal(handler, req, refusal);
+    const status = statusOfRefusal(refusal);
     await this.write(pending, () => writeRefusal(res, status, responseBody));
   }
 
-  /**
-   * Creates the refusal to send. Its outcome comes from the record of the
-   * request's key if there is one: another copy of the request, sent under the
-   * same key, may have run.
-   */
-  private async createRefusal(
-    req: IncomingMessage,
-    refusal: Refused | MessageFault,
-  ): Promise<Refusal> {
-    const refused =
-      typeof refusal === 'string'
-        ? refusedNotRun(recordedReason(refusal))
-        : refusal;
-    const target = parseTarget(req.url ?? '/');
-    const key = singleValue(req.headers[CallerHeader.IdempotencyKey]);
-    const isKeyed = target.kind === 'service' && key !== undefined;
-    const result = isKeyed
-      ? await this.server.handler.refuse(
-          requestHeadOf(req, target, key),
-          refused,
-        )
-      : refused;
-    const outcome =
-      result.kind === 'refused' ? result.outcome : Outcome.Unknown;
-    return typeof refusal === 'string'
-      ? faultRefusal(refusal, outcome)
-      : {...refusalOf(refusal), outcome};
-  }
-
   /** Writes an answer and waits until it is sent; a stalled one is aborted. */
   private async write(
     {res}: PendingRequest,
@@ -330,7 +327,10 @@
   ): Promise<void> {
     if (res.destroyed) return;
     this.phase = 'answering';
-    if (!this.canStayOpen()) res.setHeader('connection', 'close');
+    if (this.endsWithNextAnswer()) {
+      this.isEnding = true;
+      res.setHeader('connection', 'close');
+    }
     await new Promise<void>(resolve => {
       const onTimeout = () => this.socket.destroy();
       const timer = setTimeout(onTimeout, this.server.limits.answerMs);
@@ -369,12 +369,14 @@
     this.lastMember = member;
   }
 
-  private canStayOpen(): boolean {
-    if (this.server.closing) return false;
+  /** Returns whether no answer follows the one about to be written. */
+  private endsWithNextAnswer(): boolean {
+    if (this.queue.size > 0 || this.fault) return false;
+    if (this.isEnding || this.server.closing) return true;
     const {lastMember} = this;
     return (
-      lastMember === undefined ||
-      this.server.connections.mayKeepOpen(lastMember)
+      lastMember !== undefined &&
+      !this.server.connections.mayKeepOpen(lastMember)
     );
   }
 }
@@ -382,19 +384,3 @@
 const noop = () => undefined;
 /** Grant for calls on a server that does not enforce members' shares. */
 const UNLIMITED_GRANT: Grant = {kind: 'granted', [Symbol.dispose]: noop};
-
-function writeResult(res: ServerResponse, result: CallerResult): void {
-  switch (result.kind) {
-    case 'answered':
-      return writeAnswer(res, result.answer, result.requestId);
-    case 'refused':
-      return writeRefusal(
-        res,
-        refusalStatusOf(result.reason),
-        refusalOf(result),
-        result.requestId,
-      );
-    default:
-      result satisfies never;
-  }
-}
--- a/packages/daemon/src/caller/caller_server.ts
+++ b/packages/daemon/src/caller/caller_server.ts
@@ -4,7 +4,6 @@
  * {@link CallHandler}.
  */
 import type {Clock} from '@ragworthall/balancer';
-import {Outcome} from '@ragworthall/contracts';
 import {
   createServer,
   type IncomingMessage,
@@ -13,11 +12,7 @@
 } from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
-import {
-  encodeFaultAnswer,
-  faultRefusal,
-  writeRefusal,
-} from './answer_writer.js';
+import {encodeFaultAnswer} from './answer_writer.js';
 import type {MetricSink} from '../metrics/metric.js';
 import {BodyMemory} from './body.js';
 import type {CallContextCodec} from './call_context.js';
@@ -28,11 +23,7 @@
 } from './caller_connection.js';
 import {MemberConnections} from './member_connections.js';
 import type {MemberAdmission} from './member_admission.js';
-import {
-  faultAnswer,
-  faultOfParserError,
-  MessageFault,
-} from './message_fault.js';
+import {faultOfParserError, MessageFault} from './message_fault.js';
 
 export type * from './caller_handler.js';
 
@@ -155,7 +146,8 @@
         limits.headersMs,
       ),
       keepAliveTimeout: limits.keepAliveMs,
-      requireHostHeader: true,
+      // Node.js would close the connection under requests behind the faulty one.
+      requireHostHeader: false,
       insecureHTTPParser: false,
       noDelay: true,
     });
@@ -167,7 +159,12 @@
       .on('connection', socket => this.open(socket))
       .on('request', (req, res) => this.receive(req, res, false))
       .on('checkContinue', (req, res) => this.receive(req, res, true))
-      .on('checkExpectation', (req, res) => refuseExpectation(req, res))
+      .on('checkExpectation', (req, res) => this.receive(req, res, true))
+      .on('connect', (req, socket) =>
+        this.openConnections
+          .get(socket as Socket)
+          ?.fail(MessageFault.TargetMalformed),
+      )
       .on('clientError', (err: NodeJS.ErrnoException, socket) =>
         this.fail(err, socket as Socket),
       );
@@ -195,8 +192,13 @@
 
   private fail(err: NodeJS.ErrnoException, socket: Socket): void {
     const connection = this.openConnections.get(socket);
-    if (!connection || err.code === 'ECONNRESET') socket.destroy();
-    else connection.fail(faultOfParserError(err.code));
+    if (!connection || err.code === 'ECONNRESET') {
+      socket.destroy();
+      return;
+    }
+    const fault = faultOfParserError(err.code);
+    if (fault === MessageFault.RequestTooSlow) connection.failLate(fault);
+    else connection.fail(fault);
   }
 }
 
@@ -205,10 +207,3 @@
   socket.end(encodeFaultAnswer(MessageFault.ConnectionsExhausted));
   setTimeout(() => socket.destroy(), REFUSAL_TIMEOUT_MS).unref();
 }
-
-function refuseExpectation(req: IncomingMessage, res: ServerResponse): void {
-  res.setHeader('connection', 'close');
-  const fault = MessageFault.ExpectationUnsupported;
-  const {status} = faultAnswer(fault);
-  writeRefusal(res, status, faultRefusal(fault, Outcome.NotRun));
-}
--- a/packages/daemon/src/caller/inbox.ts
+++ b/packages/daemon/src/caller/inbox.ts
@@ -30,10 +30,15 @@
     return new Promise(resolve => (this.reader = resolve));
   }
 
+  /** Drops the queued messages. */
+  clear(): void {
+    this.waiting.length = 0;
+  }
+
   /** Drops the queued messages and wakes up a waiting reader. */
   close(): void {
     this.closed = true;
-    this.waiting.length = 0;
+    this.clear();
     this.reader?.(undefined);
     this.reader = undefined;
   }
--- a/packages/daemon/src/caller/message_check.ts
+++ b/packages/daemon/src/caller/message_check.ts
@@ -26,6 +26,11 @@
   if (req.httpVersion !== '1.1') return MessageFault.VersionUnsupported;
   if (!areValidFields(req.rawHeaders)) return MessageFault.HeaderMalformed;
   if (hasRepeatedSingleton(req.rawHeaders)) return MessageFault.HeaderRepeated;
+  if (req.headers.host === undefined) return MessageFault.MessageMalformed;
+  const {expect} = req.headers;
+  if (expect !== undefined && expect.toLowerCase() !== '100-continue') {
+    return MessageFault.ExpectationUnsupported;
+  }
   const coding = req.headers['transfer-encoding'];
   if (coding !== undefined && coding.toLowerCase() !== 'chunked') {
     return MessageFault.CodingUnsupported;
