Bound the memory and the time that bodies of callers take

Callers saw: one request of 2.3 MB in chunks of one byte, or a few uploads of 32 MB at the same time, each within the operators' limit, ended the instance and with it all requests that it held.

Cause: bodies were kept as lists of chunks and counted by their bytes, and nothing bounded them together.

A body gets its memory before it is read; what gets none is answered 503 with Retry-After at once, and has not run. Short chunks above a rate wait (ShortChunkPace), so that they take no more than a part of the processor.

--- a/packages/daemon/src/caller/body.ts
+++ b/packages/daemon/src/caller/body.ts
@@ -1,5 +1,6 @@
 /** Reads request bodies within limits on size, time and memory. */
 import type {IncomingMessage} from 'node:http';
+import {BodyBuffer} from '../message/body_buffer.js';
 
 /** Result of reading a body. */
 export type BodyReadResult =
@@ -30,15 +31,13 @@
   if (maxBytes > limit) return {kind: 'too_large'};
   if (maxBytes === 0) return {kind: 'complete', body: EMPTY};
   return new Promise(resolve => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const body = new BodyBuffer();
     const timer = setTimeout(() => end({kind: 'too_slow'}), timeoutMs);
     const onData = (chunk: Buffer) => {
-      bytes += chunk.byteLength;
-      if (bytes > limit) end({kind: 'too_large'});
-      else chunks.push(chunk);
+      body.append(chunk);
+      if (body.byteLength > limit) end({kind: 'too_large'});
     };
-    const onEnd = () => end({kind: 'complete', body: concatChunks(chunks)});
+    const onEnd = () => end({kind: 'complete', body: body.join()});
     const onClose = () => end({kind: 'truncated'});
     const end = (result: BodyReadResult) => {
       clearTimeout(timer);
@@ -71,10 +70,6 @@
   });
 }
 
-function concatChunks(chunks: readonly Buffer[]): Uint8Array {
-  return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-}
-
 /** Limits the total memory used by request bodies. */
 export class BodyMemory {
   private used = 0;
--- a/packages/daemon/src/message/body_buffer.ts
+++ b/packages/daemon/src/message/body_buffer.ts
@@ -18,6 +18,12 @@
   private length = 0;
   private cost = 0;
 
+  /**
+   * @param expectedBytes Size of the body, if it is known: it is then collected in
+   *     one block.
+   */
+  constructor(private readonly expectedBytes = 0) {}
+
   /** Size of the body, bytes. */
   get byteLength(): number {
     return this.length;
@@ -39,7 +45,7 @@
     this.length += chunk.byteLength;
     // Most bodies are a single chunk: it is kept without a copy, with the buffer
     // that was read from the socket.
-    if (this.cost === 0) {
+    if (this.cost === 0 && chunk.byteLength >= this.expectedBytes) {
       this.full.push(chunk);
       this.cost = chunk.buffer.byteLength;
       return;
@@ -72,7 +78,10 @@
     if (this.used > 0) this.full.push(this.block);
     // Grows with the body, so that a short one has few empty bytes.
     const wanted = Math.max(minBytes, this.length, MIN_BLOCK_BYTES);
-    const bytes = Math.min(wanted, MAX_BLOCK_BYTES);
+    const isFirst = this.cost === 0;
+    const bytes = isFirst
+      ? Math.max(wanted, this.expectedBytes)
+      : Math.min(wanted, MAX_BLOCK_BYTES);
     // Not from Node's pool, whose slabs other buffers may keep.
     this.block = Buffer.allocUnsafeSlow(bytes);
     this.used = 0;
--- a/packages/gateway/src/caller/body.ts
+++ b/packages/gateway/src/caller/body.ts
@@ -1,28 +1,39 @@
 /** Reads the body of a caller's request. */
+import {BodyBuffer} from '@ragworthall/daemon';
 import type {IncomingMessage} from 'node:http';
+import type {BodyAccount} from './body_memory.js';
+import type {ShortChunkPace} from './short_chunk_pace.js';
 
 /** The result of reading a body. */
 export type BodyResult =
   | {readonly kind: 'complete'; readonly bytes: Uint8Array}
   | {readonly kind: 'too_large'}
   | {readonly kind: 'too_slow'}
+  /** Other bodies take the memory. */
+  | {readonly kind: 'no_memory'}
   /** The connection ended before the body was complete. */
   | {readonly kind: 'truncated'};
 
-const EMPTY = new Uint8Array(0);
+/** Limits on one body. */
+export interface BodyLimits {
+  /** Largest size, bytes. */
+  readonly maxBytes: number;
+  /** Longest time for it to arrive, milliseconds. */
+  readonly timeoutMs: number;
+}
 
-/** Reads a body of at most `maxBytes` bytes within `timeoutMs`. Never rejects. */
+/** Reads a body within its limits. Never rejects. */
 export function readBody(
   req: IncomingMessage,
-  maxBytes: number,
-  timeoutMs: number,
+  {maxBytes, timeoutMs}: BodyLimits,
+  account: BodyAccount,
+  pace: ShortChunkPace,
 ): Promise<BodyResult> {
-  if (Number(req.headers['content-length'] ?? 0) > maxBytes) {
-    return Promise.resolve({kind: 'too_large'});
-  }
+  const statedBytes = Number(req.headers['content-length'] ?? 0);
+  if (statedBytes > maxBytes) return Promise.resolve({kind: 'too_large'});
+  if (!account.resize(statedBytes)) return Promise.resolve({kind: 'no_memory'});
   return new Promise(resolve => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const body = new BodyBuffer(statedBytes);
     const end = (result: BodyResult) => {
       clearTimeout(timer);
       req.off('data', onData).off('end', onEnd).off('close', onClose);
@@ -32,14 +43,19 @@
     const onTimeout = () => setImmediate(() => end({kind: 'too_slow'}));
     const timer = setTimeout(onTimeout, timeoutMs);
     const onData = (chunk: Buffer) => {
-      bytes += chunk.byteLength;
-      if (bytes > maxBytes) end({kind: 'too_large'});
-      else chunks.push(chunk);
-    };
-    const onEnd = () => {
-      const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-      end({kind: 'complete', bytes: bytes === 0 ? EMPTY : body});
+      const waitMs = pace.record(chunk.byteLength, performance.now());
+      if (waitMs > 0 && !req.isPaused()) {
+        req.pause();
+        setTimeout(() => req.resume(), waitMs);
+      }
+      const costBefore = body.costBytes;
+      body.append(chunk);
+      if (body.byteLength > maxBytes) end({kind: 'too_large'});
+      else if (statedBytes > 0 || body.costBytes === costBefore) return;
+      // The blocks are joined in the end.
+      else if (!account.resize(2 * body.costBytes)) end({kind: 'no_memory'});
     };
+    const onEnd = () => end({kind: 'complete', bytes: body.join()});
     const onClose = () => end({kind: 'truncated'});
     req.on('data', onData).once('end', onEnd).once('close', onClose);
     // An aborted request emits `error` and then `close`.
--- a/packages/gateway/src/caller/caller_server.test.ts
+++ b/packages/gateway/src/caller/caller_server.test.ts
@@ -38,7 +38,13 @@
 async function serve(t: {teardown(end: () => void): void}) {
   const errors: unknown[] = [];
   const clock = {now: () => performance.now()};
-  const server = new CallerServer(handle, WIRE, clock, err => errors.push(err));
+  const server = new CallerServer(
+    handle,
+    WIRE,
+    clock,
+    err => errors.push(err),
+    1_000_000,
+  );
   const host = `127.88.${process.pid % 250}.${(process.pid >> 8) % 250}`;
   await server.listen(18_641, host);
   t.teardown(() => server.stopListening());
--- a/packages/gateway/src/caller/caller_server.ts
+++ b/packages/gateway/src/caller/caller_server.ts
@@ -16,8 +16,10 @@
 import type {WireFormat} from '../platform/wire_format.js';
 import type {CallerRequest, RequestEnd} from '../request/caller_request.js';
 import {readBody} from './body.js';
+import {type BodyAccount, BodyMemory} from './body_memory.js';
 import {CallerConnection} from './caller_connection.js';
 import {Rejection, rejectionOfError} from './rejection.js';
+import {ShortChunkPace} from './short_chunk_pace.js';
 
 /** Timeout of a request that states none, milliseconds. */
 const DEFAULT_TIMEOUT_MS = 30_000;
@@ -52,6 +54,8 @@
 export class CallerServer {
   private readonly server: Server;
   private readonly connections = new Map<Socket, CallerConnection>();
+  private readonly bodyMemory: BodyMemory;
+  private readonly pace = new ShortChunkPace();
   private limits = DEFAULT_LIMITS;
   private closing = false;
 
@@ -60,7 +64,9 @@
     private readonly wire: WireFormat,
     private readonly clock: Clock,
     private readonly onError: ErrorListener,
+    bodyMemoryBytes: number,
   ) {
+    this.bodyMemory = new BodyMemory(bodyMemoryBytes);
     this.server = createServer({
       maxHeaderSize: DEFAULT_LIMITS.headerBytes,
       headersTimeout: DEFAULT_LIMITS.headersMs,
@@ -143,8 +149,9 @@
     const arrivedAt = this.clock.now();
     const connection = this.connections.get(req.socket);
     if (!connection?.accept(res)) return;
+    using account = this.bodyMemory.open(req.socket.remoteAddress ?? '');
     const request = await connection.receive(res, () =>
-      this.receive(connection, req, res, arrivedAt),
+      this.receive(connection, req, res, arrivedAt, account),
     );
     if (!request) return;
     const end = await this.handler(request);
@@ -157,6 +164,7 @@
     req: IncomingMessage,
     res: ServerResponse,
     arrivedAt: number,
+    account: BodyAccount,
   ): Promise<CallerRequest | undefined> {
     // A caller whose fields are malformed may frame its messages differently:
     // nothing that follows on its connection is served.
@@ -164,13 +172,20 @@
       connection.reject(Rejection.Malformed, res);
       return undefined;
     }
-    const body = await readBody(req, this.limits.bodyBytes, BODY_TIMEOUT_MS);
+    const limits = {
+      maxBytes: this.limits.bodyBytes,
+      timeoutMs: BODY_TIMEOUT_MS,
+    };
+    const body = await readBody(req, limits, account, this.pace);
     switch (body.kind) {
       case 'truncated':
         return undefined;
       case 'too_slow':
         connection.reject(Rejection.Late, res);
         return undefined;
+      case 'no_memory':
+        connection.reject(Rejection.NoMemory, res);
+        return undefined;
       case 'too_large':
         // The rest of the body may be long: it is not awaited.
         if (!req.complete) connection.reject(Rejection.BodyTooLarge, res);
--- a/packages/gateway/src/caller/rejected_messages.test.ts
+++ b/packages/gateway/src/caller/rejected_messages.test.ts
@@ -57,7 +57,13 @@
     };
   };
   const clock = {now: () => performance.now()};
-  const server = new CallerServer(handle, WIRE, clock, err => t.fail(`${err}`));
+  const server = new CallerServer(
+    handle,
+    WIRE,
+    clock,
+    err => t.fail(`${err}`),
+    1_000_000,
+  );
   server.applyLimits({
     headerBytes: 65_536,
     bodyBytes: BODY_BYTES,
--- a/packages/gateway/src/caller/rejection.ts
+++ b/packages/gateway/src/caller/rejection.ts
@@ -12,16 +12,20 @@
   Late: 'late',
   BodyTooLarge: 'body_too_large',
   HeadTooLarge: 'head_too_large',
+  /** Other bodies take the memory for bodies. */
+  NoMemory: 'no_memory',
 } as const;
 
 /** A value of {@link Rejection}. */
 export type Rejection = (typeof Rejection)[keyof typeof Rejection];
 
+/** Status lines, and the header fields that belong to some. */
 const STATUS_LINES: Readonly<Record<Rejection, string>> = {
   malformed: '400 Bad Request',
   late: '408 Request Timeout',
   body_too_large: '413 Content Too Large',
   head_too_large: '431 Request Header Fields Too Large',
+  no_memory: '503 Service Unavailable\r\nRetry-After: 1',
 };
 
 /** Returns the whole answer to a rejected message. */
--- a/packages/gateway/src/instance/gateway.ts
+++ b/packages/gateway/src/instance/gateway.ts
@@ -83,6 +83,8 @@
   readonly probesPerServerPerS: number;
   /** Limits on the answers of backend servers that are being received. */
   readonly answerLimits: AnswerLimits;
+  /** Memory for the bodies of callers' requests, bytes. */
+  readonly bodyMemoryBytes: number;
   /** Time from the signal to stop until the process is ended, milliseconds. */
   readonly graceMs: number;
   readonly wire: WireFormat;
@@ -204,6 +206,7 @@
       wire,
       clock,
       err => log.taskFailed('request', err),
+      options.bodyMemoryBytes,
     );
     clock.onPause(ms => log.lifecycle('paused', {ms: Math.round(ms)}));
     metrics.registerGauges({
