Tell requests that wait for a server in a stop that they were not run

Cause: the plan of a stop was asked only when a request arrived, not while it waited or before it was sent again.

Change: each round of placement asks the plan, too. What would be cut off if it were sent now is answered 503 with a short Retry-After; what still ends in time is sent, the most urgent first. The same before another send and while a request waits for the permission of a suspect content.

--- a/packages/balancer/src/instance/stop_plan.test.ts
+++ b/packages/balancer/src/instance/stop_plan.test.ts
@@ -18,3 +18,8 @@
 test('nothing is taken after the end', t => {
   t.false(PLAN.takes({endsAt: 20_000, usualMs: 0}, 10_001));
 });
+
+test('a request of unknown duration is not taken when there is hardly time to refuse it', t => {
+  t.true(PLAN.takes({endsAt: 20_000, usualMs: 0}, 9_700));
+  t.false(PLAN.takes({endsAt: 20_000, usualMs: 0}, 9_800));
+});
--- a/packages/balancer/src/instance/stop_plan.ts
+++ b/packages/balancer/src/instance/stop_plan.ts
@@ -6,8 +6,10 @@
 
 /** Multiple of the usual duration that a slow server may take. */
 const SLOW_FACTOR = 6;
+/** Shortest time for a request to run, or for its refusal to be written, milliseconds. */
+const MIN_RUN_MS = 250;
 
-/** A request that was read during a stop. */
+/** A request that was read during a stop, or waits for a server in it. */
 export interface LateRequest {
   /** Time at which its answer is no longer needed, milliseconds. */
   readonly endsAt: number;
@@ -20,9 +22,9 @@
   /** @param endsAt Time at which requests in flight are cut off, milliseconds. */
   constructor(private readonly endsAt: number) {}
 
-  /** Whether the request ends before it would be cut off. */
+  /** Whether the request, if it is sent now, ends before it would be cut off. */
   takes({endsAt, usualMs}: LateRequest, now: number): boolean {
-    const slowMs = usualMs > 0 ? SLOW_FACTOR * usualMs : 0;
+    const slowMs = Math.max(SLOW_FACTOR * usualMs, MIN_RUN_MS);
     return Math.min(endsAt, now + slowMs) <= this.endsAt;
   }
 }
--- a/packages/balancer/src/service/placement_round.test.ts
+++ b/packages/balancer/src/service/placement_round.test.ts
@@ -1,6 +1,7 @@
 /** Tests of what callers get when more requests come than servers can answer. */
 import test from 'ava';
 import type {Route} from '../route/route.js';
+import {StopPlan} from '../instance/stop_plan.js';
 import {serverEntry} from '../backend_server/server_entry.test_support.js';
 import {SharedServer} from '../backend_server/shared_server.js';
 import {SeededRandom} from '../link/random.js';
@@ -196,3 +197,13 @@
   t.is(outcome.refused, 0, JSON.stringify(outcome));
   t.true(share(outcome, 'inTarget') > 0.97, JSON.stringify(outcome));
 });
+
+test('a waiting request that a stop would cut off is refused, one that ends in time is sent', t => {
+  const stop = new StopPlan(START + 700);
+  const urgent = waiting(URGENT, 0);
+  const soon = placementRound(serviceWithLoad(0), [urgent], START, stop);
+  t.is(soon.placed.length, 1);
+  const late = placementRound(serviceWithLoad(0), [urgent], START + 500, stop);
+  t.deepEqual(late.dropped, [{request: urgent, why: DropReason.Stopping}]);
+  t.deepEqual(late.placed, []);
+});
--- a/packages/balancer/src/service/placement_round.ts
+++ b/packages/balancer/src/service/placement_round.ts
@@ -4,6 +4,7 @@
  * their load. Answers an overload: more requests wait than servers have slots.
  */
 import type {SharedServer} from '../backend_server/shared_server.js';
+import type {StopPlan} from '../instance/stop_plan.js';
 import {withoutOpening} from './opening_plan.js';
 import type {Candidate} from './server_snapshot.js';
 import {
@@ -26,6 +27,8 @@
   NoTime: 'no_time',
   /** It misses its target; others that are as urgent can still meet theirs. */
   NoCapacity: 'no_capacity',
+  /** The instance stops before the request would end. */
+  Stopping: 'stopping',
 } as const;
 
 /** A value of {@link DropReason}. */
@@ -50,11 +53,16 @@
   readonly isTimely: boolean;
 }
 
-/** Decides about the waiting requests; counts placed ones as sent. */
+/**
+ * Decides about the waiting requests; counts placed ones as sent.
+ *
+ * @param stop The stop of the instance, if it is in progress.
+ */
 export function placementRound<W extends WaitingRequest>(
   service: SharedService,
   requests: readonly W[],
   now: number,
+  stop?: StopPlan,
 ): PlacementRound<W> {
   const ranked = requests.map(request => ({
     request,
@@ -64,7 +72,9 @@
   const accepting = service.acceptingServers;
   const verdicts = ranked.map(entry => ({
     ...entry,
-    why: dropReason(service, accepting, entry, ranked, now),
+    why: isCutOffBy(stop, service, entry.placement, now)
+      ? DropReason.Stopping
+      : dropReason(service, accepting, entry, ranked, now),
   }));
   const dropped = verdicts.flatMap(({request, why}) =>
     why === undefined ? [] : [{request, why}],
@@ -148,6 +158,20 @@
   };
 }
 
+/**
+ * Whether a stop would cut off the request if it were sent now. It has not run
+ * while it waits, so that its caller may still go elsewhere.
+ */
+function isCutOffBy(
+  stop: StopPlan | undefined,
+  service: SharedService,
+  {route, endsAt}: PlacementRequest,
+  now: number,
+): boolean {
+  const usualMs = service.usualMs(route);
+  return stop?.takes({endsAt, usualMs}, now) === false;
+}
+
 /** Returns why a request is not to wait any longer; undefined if it may. */
 function dropReason<W extends WaitingRequest>(
   service: SharedService,
--- a/packages/gateway/src/instance/gateway.ts
+++ b/packages/gateway/src/instance/gateway.ts
@@ -172,8 +172,11 @@
       probeRateLimiter,
       this.reach,
     );
-    const queues = new RequestQueues(prober, clock, err =>
-      log.taskFailed('request_queue', err),
+    const queues = new RequestQueues(
+      prober,
+      clock,
+      () => this.stopPlan,
+      err => log.taskFailed('request_queue', err),
     );
     this.reach.onUnreachable(() => queues.release());
     this.contents = new SharedContents(
--- a/packages/gateway/src/request/request_queue.ts
+++ b/packages/gateway/src/request/request_queue.ts
@@ -11,6 +11,7 @@
   placementRound,
   type SharedServer,
   type SharedService,
+  type StopPlan,
   type WaitingRequest,
 } from '@ragworthall/balancer';
 import type {Prober} from '../backend_server/prober.js';
@@ -53,6 +54,7 @@
     private readonly service: SharedService,
     private readonly prober: Prober,
     private readonly clock: Clock,
+    private readonly stopPlan: () => StopPlan | undefined,
     private readonly onError: (err: unknown) => void,
   ) {}
 
@@ -119,6 +121,7 @@
         this.service,
         this.requests,
         this.clock.now(),
+        this.stopPlan(),
       );
       this.requests = [...waiting];
       dropped.forEach(({request, why}) =>
@@ -177,6 +180,7 @@
   constructor(
     private readonly prober: Prober,
     private readonly clock: Clock,
+    private readonly stopPlan: () => StopPlan | undefined,
     private readonly onError: (err: unknown) => void,
   ) {}
 
@@ -188,6 +192,7 @@
       service,
       this.prober,
       this.clock,
+      this.stopPlan,
       this.onError,
     );
     this.queues.set(service, queue);
--- a/packages/gateway/src/request/request_run.ts
+++ b/packages/gateway/src/request/request_run.ts
@@ -15,6 +15,7 @@
 } from '@ragworthall/balancer';
 import type {SendResult} from '../backend_server/send_result.js';
 import type {ContentRun} from '../content/content_run.js';
+import {ELSEWHERE_RETRY_MS} from './arrival_check.js';
 import type {RequestLog} from '../log/request_log.js';
 import {
   type CallerRequest,
@@ -92,7 +93,11 @@
   private async runOnce(): Promise<RequestEnd | undefined> {
     const permission = await this.context.contentGuard.waitForPermission(
       this.request,
-      () => this.progress.deadline - this.context.clock.now() - this.expectedMs,
+      () => {
+        const now = this.context.clock.now();
+        if (this.isCutOffByStop(now)) return 0;
+        return this.progress.deadline - now - this.expectedMs;
+      },
     );
     switch (permission.kind) {
       case 'granted':
@@ -146,6 +151,8 @@
         return this.giveUp(Failure.Expired);
       case DropReason.NoCapacity:
         return this.giveUp(Failure.NoCapacity);
+      case DropReason.Stopping:
+        return this.giveUp(Failure.Stopping, ELSEWHERE_RETRY_MS);
       default:
         return why satisfies never;
     }
@@ -157,11 +164,20 @@
     if (this.request.callerGone.aborted) return {kind: 'abandoned'};
     if (this.progress.deadline - now < MIN_LEFT_MS)
       return this.giveUp(Failure.Expired);
+    if (this.isCutOffByStop(now))
+      return this.giveUp(Failure.Stopping, ELSEWHERE_RETRY_MS);
     if (this.progress.sends === 0 || this.service.budget.trySpend(now))
       return undefined;
     return this.giveUp(Failure.Shed);
   }
 
+  /** Whether the instance stops before the request would end if it were sent now. */
+  private isCutOffByStop(now: number): boolean {
+    const endsAt = this.progress.deadline;
+    const usualMs = this.service.usualMs(this.route);
+    return this.context.stopPlan()?.takes({endsAt, usualMs}, now) === false;
+  }
+
   private get queue(): RequestQueue {
     return this.context.queues.of(this.service);
   }
