Close a connection whose probe was rejected

Cause: a full server rejects a probe with an answer that names no request, and the connection was used again. A late copy of that rejection, where the answer to a request is due, was taken for the rejection of the request. Rejections of requests that name none were treated rightly already.

Change: as after those, the connection is closed. Only servers that reject probes cost a new connection each.

Evidence: backend_client.test.ts, "a late copy of a rejected probe ...", failed before (not_run for a request that ran).

--- a/packages/gateway/src/backend_server/backend_client.ts
+++ b/packages/gateway/src/backend_server/backend_client.ts
@@ -276,6 +276,12 @@
       this.costs,
       (message, id) => {
         const named = fieldOf(message, this.wire.headers.requestId);
+        // A late copy of a rejected probe would be taken for the rejection of the
+        // next request on the connection.
+        const isRejectedProbe =
+          id === undefined &&
+          fieldOf(message, this.wire.headers.notRun) !== undefined;
+        if (isRejectedProbe && named === undefined) return Attribution.Unnamed;
         if (named === id) return Attribution.This;
         return named === undefined ? Attribution.Unnamed : Attribution.Other;
       },
