Ask the store again on all connections once one has fallen silent

Cause: each task that follows a table found out by its own time-out that its connection was silent, the one of the registry after up to 5.8 s. That another one had found out woke nobody.

Change: a call that the store does not answer makes the others that wait for changes ask again at once, on new connections (StoreWatch.recordLoss).

--- a/packages/gateway/src/platform/store_watch.ts
+++ b/packages/gateway/src/platform/store_watch.ts
@@ -4,6 +4,7 @@
 export class StoreWatch {
   private era: number | undefined;
   private readonly returnListeners = new Set<() => void>();
+  private readonly lossListeners = new Set<() => void>();
   private readonly eraListeners = new Set<(era: number) => void>();
 
   /** Calls `listener` when the store answers again after an outage. */
@@ -11,11 +12,21 @@
     this.returnListeners.add(listener);
   }
 
+  /** Calls `listener` when the store does not answer a call. */
+  onLoss(listener: () => void): void {
+    this.lossListeners.add(listener);
+  }
+
   /** Calls `listener` with the new era when the store was restored. */
   onRestored(listener: (era: number) => void): void {
     this.eraListeners.add(listener);
   }
 
+  /** Records that the store did not answer a call. */
+  recordLoss(): void {
+    this.lossListeners.forEach(listener => listener());
+  }
+
   /** Records that the store answers again. */
   recordReturn(): void {
     this.returnListeners.forEach(listener => listener());
--- a/packages/gateway/src/platform/table_follower.ts
+++ b/packages/gateway/src/platform/table_follower.ts
@@ -89,6 +89,8 @@
   private failures = 0;
   /** When the latest call of the store began. */
   private calledAt = -Infinity;
+  /** Whether a call waits for changes. */
+  private isWaiting = false;
   /** When the latest call began that the store did not answer. */
   private lostAt = -Infinity;
   /** Whether the latest update of a source was that the store does not answer. */
@@ -112,6 +114,7 @@
     );
     context.exchange.onRoleChange(() => this.pollPause.wake());
     context.storeWatch.onReturn(() => this.pollPause.wake());
+    context.storeWatch.onLoss(() => this.checkConnection());
     context.storeWatch.onRestored(era => this.eraChanged(era));
   }
 
@@ -134,6 +137,14 @@
     });
   }
 
+  /**
+   * Asks again on a new connection if a call waits for changes: another task has
+   * found the store silent, and the connection of that call may be silent, too.
+   */
+  private checkConnection(): void {
+    if (this.isWaiting) void this.confirm();
+  }
+
   private async readAll(signal: AbortSignal): Promise<boolean> {
     const startedAt = this.position.current;
     this.calledAt = this.context.clock.now();
@@ -184,11 +195,13 @@
       const settle = () => awaiting.forEach(resolve => resolve());
       const longPollMs = awaiting.length > 0 ? 0 : this.currentLongPollMs;
       this.calledAt = this.context.clock.now();
+      this.isWaiting = longPollMs > 0;
       const read = await this.source.changes(
         from.version,
         longPollMs,
         AbortSignal.any([signal, this.interrupt.signal]),
       );
+      this.isWaiting = false;
       if (read.isErr()) {
         settle();
         if (this.interrupt.signal.aborted) continue;
@@ -353,6 +366,7 @@
       this.sink.storeLost();
     }
     exchange.publish(this.table, {kind: 'no_answer'});
+    if (err.kind === 'unreachable') this.context.storeWatch.recordLoss();
     const delayMs = this.retryDelayMs();
     this.failures += 1;
     await this.pollPause.wait(delayMs, signal);
