Keep the claim of a suspect content when an earlier end is noticed late

Callers saw: a content that ends its servers, sent to all instances at once, could end two servers more than the five and two that are allowed, on routes that were measured.

Cause: two faults and what hid them. An end that an instance noticed late removed the claim of whoever ran the content meanwhile, so that another one ran it beside it. A claim counted as failed after 100 ms, and without the store each instance runs the content for itself; on a busy store that was soon. The time left for a suspect content was counted with the target as the expected duration where none was measured.

--- a/packages/balancer/src/content/crash_record.test.ts
+++ b/packages/balancer/src/content/crash_record.test.ts
@@ -122,3 +122,27 @@
     {seed: 28},
   );
 });
+
+test('an end that is noticed late leaves the claim of another run', t => {
+  const until = 10 * S;
+  const claimed: ContentChange = {
+    kind: 'claimed',
+    claim: {by: OTHER, until},
+    at: 100,
+  };
+  const record = after([ended(0, 0), claimed, ended(0, 200)]);
+  t.like(record, {ends: 1, claim: {by: OTHER, until}});
+  t.is(contentStatus(record, SELF, 200).kind, 'claimed');
+  // The end of the claimed run counts, and ends the claim.
+  const after2 = after([endedUnder(OTHER, 1, 300)], record);
+  t.is(after2?.ends, 2);
+  t.is(contentStatus(after2, SELF, 300).kind, 'suspect');
+});
+
+function endedUnder(
+  claimedBy: string,
+  knownEnds: number,
+  at: number,
+): ContentChange {
+  return {kind: 'ended', knownEnds, at, claimedBy};
+}
--- a/packages/balancer/src/content/crash_record.ts
+++ b/packages/balancer/src/content/crash_record.ts
@@ -52,7 +52,13 @@
    * known. Several servers may end at once for another reason, each with a copy
    * of a harmless content: these count as one end.
    */
-  | {readonly kind: 'ended'; readonly knownEnds: number; readonly at: number}
+  | {
+      readonly kind: 'ended';
+      readonly knownEnds: number;
+      readonly at: number;
+      /** The instance whose claimed run it was; undefined for any other run. */
+      readonly claimedBy?: string;
+    }
   /** A server answered a request with the content. */
   | {readonly kind: 'answered'}
   | {readonly kind: 'claimed'; readonly claim: RunClaim; readonly at: number}
@@ -85,7 +91,7 @@
 ): CrashRecord | undefined {
   switch (change.kind) {
     case 'ended':
-      return withEnd(record, change.knownEnds, change.at);
+      return withEnd(record, change);
     case 'answered':
       return undefined;
     case 'claimed': {
@@ -130,16 +136,17 @@
 
 function withEnd(
   record: CrashRecord | undefined,
-  knownEnds: number,
-  at: number,
+  {knownEnds, at, claimedBy}: Extract<ContentChange, {kind: 'ended'}>,
 ): CrashRecord {
   const known = record ?? NO_ENDS;
-  if (known.ends > knownEnds && !known.claim) return known;
+  // An end that is noticed late says nothing of the run that is claimed meanwhile.
+  const endsClaim = claimedBy !== undefined && known.claim?.by === claimedBy;
+  if (known.ends > knownEnds && !endsClaim) return known;
   const ended = {
     ...known,
     ends: Math.max(known.ends, knownEnds + 1),
     endedAt: Math.max(known.endedAt, at),
-    claim: undefined,
+    claim: endsClaim ? undefined : known.claim,
   };
   const isFirstRefusal = known.refusals === 0 && ended.ends >= ENDS_TO_REFUSE;
   return isFirstRefusal ? refusedFrom(ended, at) : ended;
--- a/packages/gateway/src/content/content_guard.ts
+++ b/packages/gateway/src/content/content_guard.ts
@@ -11,8 +11,11 @@
 import type {ProcessExaminer} from './process_examiner.js';
 import {RowWrite, type SharedContents} from './shared_contents.js';
 
-/** Time that a suspect content waits for its claim, milliseconds. */
-const CLAIM_WAIT_MS = 100;
+/**
+ * Time that a suspect content waits for its claim, milliseconds. Without an answer
+ * of the store it runs alone in this instance only, so a slow store is waited for.
+ */
+const CLAIM_WAIT_MS = 400;
 /** Time for which a claim outlasts the deadline of its request, milliseconds. */
 const CLAIM_MARGIN_MS = 500;
 /** Time after which a caller may return if the store takes no claim, milliseconds. */
--- a/packages/gateway/src/content/content_run.ts
+++ b/packages/gateway/src/content/content_run.ts
@@ -42,8 +42,10 @@
   /** Records that a server ended under it, at Unix milliseconds `at`. */
   recordEnd(at: number): void {
     this.isDecided = true;
-    const {knownEnds} = this;
-    this.contents.record(this.fingerprint, {kind: 'ended', knownEnds, at});
+    const {knownEnds, isExclusive} = this;
+    const claimedBy = isExclusive ? this.contents.self : undefined;
+    const change = {kind: 'ended', knownEnds, at, claimedBy} as const;
+    this.contents.record(this.fingerprint, change);
   }
 
   /** Keeps others with this content from running until the examination ends. */
--- a/packages/gateway/src/content/shared_contents.ts
+++ b/packages/gateway/src/content/shared_contents.ts
@@ -50,7 +50,7 @@
    * @param onRead Called when the rows were read, or cannot be.
    */
   constructor(
-    private readonly self: string,
+    readonly self: string,
     private readonly table: ContentTable,
     private readonly log: GatewayLog,
     private readonly onRead: () => void,
--- a/packages/gateway/src/request/request_run.ts
+++ b/packages/gateway/src/request/request_run.ts
@@ -96,7 +96,7 @@
       () => {
         const now = this.context.clock.now();
         if (this.isCutOffByStop(now)) return 0;
-        return this.progress.deadline - now - this.expectedMs;
+        return this.service.latestSendAt(this.placement) - now;
       },
     );
     switch (permission.kind) {
