--- a/packages/gateway/src/backend_server/backend_client.test.ts
+++ b/packages/gateway/src/backend_server/backend_client.test.ts
@@ -4,27 +4,10 @@
 import test from 'ava';
 import {once} from 'node:events';
 import {type AddressInfo, createServer, type Socket} from 'node:net';
-import type {WireFormat} from '../platform/wire_format.js';
+import {TEST_WIRE} from '../platform/wire_format.test_support.js';
 import {AnswerCosts} from './answer_costs.js';
 import {BackendClient} from './backend_client.js';
 
-const WIRE: WireFormat = {
-  headers: {
-    requestId: 'x-id',
-    timeLeft: 'x-left',
-    expectedServer: 'x-server',
-    serverId: 'x-server-id',
-    notRun: 'x-not-run',
-    signature: 'x-signature',
-    load: 'x-load',
-  },
-  parseLoad: () => undefined,
-  parseStatements: () => ({
-    statements: [],
-    malformed: new Map(),
-    isLimitUnreadable: false,
-  }),
-};
 const REFUSAL =
   'HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n';
 const ANSWER =
@@ -50,7 +33,7 @@
   t.teardown(() => server.close());
   const {port} = server.address() as AddressInfo;
   const costs = new AnswerCosts({answerBytes: 1_000, totalBytes: 1_000});
-  using client = new BackendClient(WIRE, costs, () => undefined);
+  using client = new BackendClient(TEST_WIRE, costs, () => undefined);
   const entry = serverEntry({id: 'x', address: `127.0.0.1:${port}`});
   const backendServer = new SharedServer(entry, 0);
   const probe = await client.probe(
--- a/packages/gateway/src/caller/caller_server.test.ts
+++ b/packages/gateway/src/caller/caller_server.test.ts
@@ -3,27 +3,9 @@
 import test from 'ava';
 import {request} from 'undici';
 import type {CallerRequest, RequestEnd} from '../request/caller_request.js';
-import type {WireFormat} from '../platform/wire_format.js';
+import {TEST_WIRE} from '../platform/wire_format.test_support.js';
 import {CallerServer} from './caller_server.js';
 
-const WIRE: WireFormat = {
-  headers: {
-    requestId: 'x-id',
-    timeLeft: 'x-left',
-    expectedServer: 'x-server',
-    serverId: 'x-server-id',
-    notRun: 'x-not-run',
-    signature: 'x-signature',
-    load: 'x-load',
-  },
-  parseLoad: () => undefined,
-  parseStatements: () => ({
-    statements: [],
-    malformed: new Map(),
-    isLimitUnreadable: false,
-  }),
-};
-
 /** Answers with the status that the path names; `/throws` fails. */
 async function handle({target}: CallerRequest): Promise<RequestEnd> {
   await Promise.resolve();
@@ -40,7 +22,7 @@
   const clock = {now: () => performance.now()};
   const server = new CallerServer(
     handle,
-    WIRE,
+    TEST_WIRE,
     clock,
     err => errors.push(err),
     1_000_000,
--- a/packages/gateway/src/caller/rejected_messages.test.ts
+++ b/packages/gateway/src/caller/rejected_messages.test.ts
@@ -6,28 +6,10 @@
 import test, {type ExecutionContext} from 'ava';
 import {connect, type Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
-import type {WireFormat} from '../platform/wire_format.js';
+import {TEST_WIRE} from '../platform/wire_format.test_support.js';
 import type {RequestEnd} from '../request/caller_request.js';
 import {CallerServer} from './caller_server.js';
 
-const WIRE: WireFormat = {
-  headers: {
-    requestId: 'x-id',
-    timeLeft: 'x-left',
-    expectedServer: 'x-server',
-    serverId: 'x-server-id',
-    notRun: 'x-not-run',
-    signature: 'x-signature',
-    load: 'x-load',
-  },
-  parseLoad: () => undefined,
-  parseStatements: () => ({
-    statements: [],
-    malformed: new Map(),
-    isLimitUnreadable: false,
-  }),
-};
-
 const HEADERS_MS = 300;
 const BODY_BYTES = 100;
 /** Time for which a handled request takes, milliseconds. */
@@ -59,7 +41,7 @@
   const clock = {now: () => performance.now()};
   const server = new CallerServer(
     handle,
-    WIRE,
+    TEST_WIRE,
     clock,
     err => t.fail(`${err}`),
     1_000_000,
